--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Short names for the commands a developer needs; CMake does the work.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: setup build check demo format format-check lint wire
+
+setup:
+	tools/install-deps
+
+build: setup
+	cmake -S . -B $(BUILD) -G Ninja
+	cmake --build $(BUILD) -j $(JOBS)
+
+check: build
+	cd $(BUILD) && ctest --output-on-failure -j 4
+
+demo: build
+	tools/demo $(BUILD)
+
+format:
+	tools/each-source | xargs clang-format -i
+
+format-check:
+	tools/each-source | xargs clang-format --dry-run -Werror
+
+lint: build
+	tools/each-source | grep '\.cpp$$' | \
+	  xargs -P $(JOBS) -n 1 clang-tidy --quiet -p $(BUILD)
+
+# Makes the committed protobuf code anew; the build itself needs no generator.
+wire:
+	cd src/wire && protoc --cpp_out=. *.proto
--- /dev/null
+++ b/include/bergamotusher/evidence.hpp
@@ -0,0 +1,72 @@
+// What an entry saw of one version over one span of time. Entries send these
+// sums to the control leader, which settles version moves by them.
+#pragma once
+
+#include <bergamotusher/ids.hpp>
+#include <bergamotusher/time.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace bergamotusher
+{
+
+/// Buckets of a latency histogram: bucket i counts values below
+/// `latency_bucket_base` * 2^(i/2); the last one takes the rest.
+inline constexpr std::size_t latency_buckets = 32;
+inline constexpr duration latency_bucket_base = 1ms;
+
+/// Counts of latencies on a fixed logarithmic scale; adds up over entries.
+struct latency_histogram
+{
+    std::array<std::uint32_t, latency_buckets> counts{};
+
+    bool operator==(const latency_histogram&) const = default;
+};
+
+/// The bucket for `value`.
+std::size_t latency_bucket_of(duration value);
+/// Counts `value`.
+void add(latency_histogram& histogram, duration value);
+/// Adds all of `other`'s counts.
+void add(latency_histogram& histogram, const latency_histogram& other);
+
+/// How loaded an upstream was when it ran a request.
+enum class load_band
+{
+    low,
+    medium,
+    full
+};
+
+/// What a sample speaks of.
+struct evidence_key
+{
+    service_name service;
+    version_name version;
+    /// Route prefix of a plain service, class of work of an engine.
+    std::string route;
+    load_band band = load_band::low;
+
+    auto operator<=>(const evidence_key&) const = default;
+};
+
+/// Sums over one span at one entry.
+struct evidence_sample
+{
+    evidence_key key;
+    std::uint32_t succeeded = 0;
+    /// Answers that the version itself got wrong or refused.
+    std::uint32_t failed = 0;
+    /// Upstream processes of the version that died with work in flight,
+    /// losses of whole failure domains and reclaims left out.
+    std::uint32_t crashed = 0;
+    latency_histogram first_token;
+    latency_histogram token_gap;
+    std::uint64_t answered_tokens = 0;
+
+    bool operator==(const evidence_sample&) const = default;
+};
+
+} // namespace bergamotusher
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,6 @@
+#include <iostream>
+
+int main()
+{
+    std::cout << "bergamotusherd " BERGAMOTUSHER_VERSION "\n";
+}
