--- a/include/bergamotusher/evidence.hpp
+++ b/include/bergamotusher/evidence.hpp
@@ -2,6 +2,7 @@
 // sums to the control leader, which settles version moves by them.
 #pragma once
 
+#include <bergamotusher/enum_names.hpp>
 #include <bergamotusher/ids.hpp>
 #include <bergamotusher/time.hpp>
 
@@ -56,6 +57,8 @@
 struct evidence_sample
 {
     evidence_key key;
+    /// The upstream that ran the requests.
+    upstream_id target;
     std::uint32_t succeeded = 0;
     /// Answers that the version itself got wrong or refused.
     std::uint32_t failed = 0;
@@ -69,4 +72,12 @@
     bool operator==(const evidence_sample&) const = default;
 };
 
+constexpr auto enum_names(load_band)
+{
+    return std::array{
+        enum_name<load_band>{load_band::low, "low"},
+        enum_name<load_band>{load_band::medium, "medium"},
+        enum_name<load_band>{load_band::full, "full"}};
+}
+
 } // namespace bergamotusher
--- /dev/null
+++ b/src/state/moves.cpp
@@ -0,0 +1,221 @@
+#include "state/configuration_check.hpp"
+#include "state/transitions.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace bergamotusher::state
+{
+
+namespace
+{
+
+constexpr std::int64_t longest_move_ms = 30LL * 24 * 3600 * 1000;
+
+/// Time from the start to the deadline, ms.
+std::int64_t time_for(const start_move& command, wall_time proposed)
+{
+    if (command.within_ms != 0)
+        return command.within_ms;
+    return command.deadline.milliseconds - proposed.milliseconds;
+}
+
+std::optional<failure> problem_of(
+    const replicated_state& state,
+    wall_time proposed,
+    const start_move& command)
+{
+    const auto invalid = [](std::string detail)
+    {
+        return failure{error_kind::invalid_configuration, std::move(detail)};
+    };
+    if (state.current->services.count(command.service) == 0)
+        return failure{
+            error_kind::unknown_service,
+            "service: there is no service '" + command.service.value + "'"};
+    if (!is_name(command.to.value))
+        return invalid("version: must be 1 to 128 letters, digits, '.', '_' "
+                       "or '-'");
+    const std::int64_t time = time_for(command, proposed);
+    if (time < state.bounds.move_time || time > longest_move_ms)
+        return invalid("deadline: must be 1 minute to 30 days ahead");
+    const auto settled = state.settled.find(command.service);
+    if (command.from == command.to ||
+        (settled != state.settled.end() && settled->second == command.to))
+        return invalid("version: is in force already");
+    if (const auto* other = running_move(state, command.service))
+        return failure{
+            error_kind::revision_conflict,
+            "move " + other->id.value + " to version " + other->to.value +
+                " has not ended"};
+    return std::nullopt;
+}
+
+version_move make_move(
+    const replicated_state& state,
+    move_id id,
+    wall_time proposed,
+    const start_move& command)
+{
+    version_move made;
+    made.id = std::move(id);
+    made.service = command.service;
+    made.from = command.from;
+    made.to = command.to;
+    const auto settled = state.settled.find(command.service);
+    if (made.from.empty() && settled != state.settled.end())
+        made.from = settled->second;
+    made.started = proposed;
+    made.phase_started = proposed;
+    made.deadline.milliseconds =
+        proposed.milliseconds + time_for(command, proposed);
+    made.trial_share = state.current->services.at(command.service).trial_share;
+    return made;
+}
+
+void forget_old_moves(replicated_state& state)
+{
+    const auto older = [](const auto& a, const auto& b)
+    {
+        if (has_ended(a.second) != has_ended(b.second))
+            return has_ended(a.second);
+        return a.second.ended < b.second.ended;
+    };
+    while (state.moves.size() > state.bounds.ended_moves)
+    {
+        const auto oldest =
+            std::min_element(state.moves.begin(), state.moves.end(), older);
+        if (!has_ended(oldest->second))
+            return;
+        state.moves.erase(oldest);
+    }
+}
+
+void publish_split(
+    replicated_state& state, std::uint64_t index, const version_move& move)
+{
+    auto split = split_of(move);
+    const auto found = state.current->splits.find(move.service);
+    const bool same = found == state.current->splits.end()
+                          ? split.empty()
+                          : found->second == split;
+    if (same)
+        return;
+    publish(
+        state,
+        index,
+        "move",
+        move.id.value,
+        [&](configuration& to)
+        {
+            if (split.empty())
+                to.splits.erase(move.service);
+            else
+                to.splits[move.service] = std::move(split);
+        });
+}
+
+std::optional<failure>
+problem_of(const version_move& held, const version_move& next)
+{
+    if (has_ended(held))
+        return failure{
+            error_kind::fenced,
+            "the move has ended: " + std::string(to_name(held.phase))};
+    if (next.sequence != held.sequence + 1)
+        return failure{error_kind::fenced, "another step came first"};
+    const bool same = next.service == held.service && next.to == held.to &&
+                      next.deadline == held.deadline &&
+                      (held.from.empty() || next.from == held.from);
+    const bool share_is_valid =
+        std::isfinite(next.share) && next.share >= 0 && next.share <= 1;
+    if (!same || !share_is_valid || next.phase < held.phase)
+        return failure{error_kind::malformed_message, "not a step of it"};
+    return std::nullopt;
+}
+
+} // namespace
+
+const version_move*
+running_move(const replicated_state& state, const service_name& service)
+{
+    for (const auto& [id, each] : state.moves)
+        if (each.service == service && !has_ended(each))
+            return &each;
+    return nullptr;
+}
+
+std::vector<version_share> split_of(const version_move& move)
+{
+    if (move.phase == move_phase::completed)
+        return {{move.to, 1, {}, false}};
+    if (move.from.empty())
+        return {};
+    if (move.phase == move_phase::taken_back || move.share <= 0)
+        return {{move.from, 1, {}, false}};
+    if (move.phase == move_phase::soak)
+        return {{move.to, 1, {}, true}};
+    std::vector<version_share> split{{move.to, move.share, move.trial, true}};
+    double rest = 1 - move.share;
+    if (!move.control.empty() && rest > move.share)
+    {
+        split.push_back({move.from, move.share, move.control, false});
+        rest -= move.share;
+    }
+    if (rest > 0)
+        split.push_back({move.from, rest, {}, false});
+    return split;
+}
+
+command_outcome start(
+    replicated_state& state,
+    std::uint64_t index,
+    std::size_t number,
+    wall_time proposed,
+    const start_move& command)
+{
+    const std::string fingerprint = encode(command, wall_time{0});
+    if (auto earlier = earlier_result(state, command.operator_key, fingerprint))
+        return *earlier;
+    command_outcome outcome;
+    if (auto problem = problem_of(state, proposed, command))
+    {
+        outcome = refused(state, problem->kind, problem->detail);
+    }
+    else
+    {
+        outcome.move.value =
+            "m" + std::to_string(index) + "-" + std::to_string(number);
+        version_move made = make_move(state, outcome.move, proposed, command);
+        publish_split(state, index, made);
+        state.moves[outcome.move] = std::move(made);
+        outcome.revision = state.current->revision;
+        forget_old_moves(state);
+    }
+    remember_result(state, command.operator_key, fingerprint, outcome);
+    return outcome;
+}
+
+command_outcome advance(
+    replicated_state& state, std::uint64_t index, const advance_move& command)
+{
+    const version_move& next = command.move;
+    const auto found = state.moves.find(next.id);
+    if (found == state.moves.end())
+        return refused(state, error_kind::unknown_resource, "no such move");
+    if (auto problem = problem_of(found->second, next))
+        return refused(state, problem->kind, problem->detail);
+    found->second = next;
+    publish_split(state, index, next);
+    if (next.phase == move_phase::completed)
+        state.settled[next.service] = next.to;
+    if (next.phase == move_phase::taken_back && !next.from.empty())
+        state.settled[next.service] = next.from;
+    command_outcome outcome;
+    outcome.move = next.id;
+    outcome.revision = state.current->revision;
+    return outcome;
+}
+
+} // namespace bergamotusher::state
