--- a/include/bergamotusher/evidence.hpp
+++ b/include/bergamotusher/evidence.hpp
@@ -13,9 +13,10 @@
 namespace bergamotusher
 {
 
-/// Buckets of a latency histogram: bucket i counts values below
-/// `latency_bucket_base` * 2^(i/2); the last one takes the rest.
-inline constexpr std::size_t latency_buckets = 32;
+/// A latency histogram has four buckets for each doubling: bucket i counts
+/// values below `latency_bucket_base` * 2^(i/4); the last one takes the rest.
+inline constexpr std::size_t latency_buckets = 64;
+inline constexpr std::size_t latency_buckets_per_doubling = 4;
 inline constexpr duration latency_bucket_base = 1ms;
 
 /// Counts of latencies on a fixed logarithmic scale; adds up over entries.
--- a/include/bergamotusher/version_move.hpp
+++ b/include/bergamotusher/version_move.hpp
@@ -91,11 +91,17 @@
     double share = 0;
     /// The cap of `share` before evidence, 0 to 1.
     double trial_share = 0.05;
-    /// Upstreams that carry the share before the soak.
+    /// Upstreams that the service had at the start; the new version needs
+    /// a part of as many.
+    std::uint32_t base = 0;
+    /// Upstreams that carry the share; empty: all of the version.
     std::vector<upstream_id> trial;
     /// Upstreams of the old version that carry an equal share, to compare
     /// under the same load.
     std::vector<upstream_id> control;
+    /// Upstreams that were slow while the version had no other one to
+    /// confirm it; they carry none of the share.
+    std::vector<upstream_id> suspects;
     std::vector<load_order> orders;
     std::vector<test_stream> tests;
     /// Requests that the version answered since the stage began.
--- a/src/base/latency_histogram.cpp
+++ b/src/base/latency_histogram.cpp
@@ -11,7 +11,9 @@
     if (value < latency_bucket_base)
         return 0;
     const double ratio = to_seconds(value) / to_seconds(latency_bucket_base);
-    const auto bucket = static_cast<std::size_t>(2 * std::log2(ratio)) + 1;
+    const auto bucket = static_cast<std::size_t>(
+                            latency_buckets_per_doubling * std::log2(ratio)) +
+                        1;
     return std::min(bucket, latency_buckets - 1);
 }
 
--- a/src/state/convert.cpp
+++ b/src/state/convert.cpp
@@ -284,6 +284,8 @@
     to.set_trial_share(from.trial_share);
     write_ids(to.mutable_trial(), from.trial);
     write_ids(to.mutable_control(), from.control);
+    write_ids(to.mutable_suspects(), from.suspects);
+    to.set_base(from.base);
     for (const load_order& order : from.orders)
         write(*to.add_orders(), order);
     for (const test_stream& test : from.tests)
@@ -310,6 +312,8 @@
     to.trial_share = from.trial_share();
     to.trial = read_ids(from.trial());
     to.control = read_ids(from.control());
+    to.suspects = read_ids(from.suspects());
+    to.base = from.base();
     for (const auto& order : from.orders())
         to.orders.push_back(read(order));
     for (const auto& test : from.tests())
--- a/src/state/moves.cpp
+++ b/src/state/moves.cpp
@@ -116,6 +116,13 @@
         });
 }
 
+/// A move may go back from widening to a trial, and no further.
+int rank(move_phase phase)
+{
+    return phase == move_phase::widen ? static_cast<int>(move_phase::trial)
+                                      : static_cast<int>(phase);
+}
+
 std::optional<failure>
 problem_of(const version_move& held, const version_move& next)
 {
@@ -130,7 +137,8 @@
                       (held.from.empty() || next.from == held.from);
     const bool share_is_valid =
         std::isfinite(next.share) && next.share >= 0 && next.share <= 1;
-    if (!same || !share_is_valid || next.phase < held.phase)
+    const bool goes_back = rank(next.phase) < rank(held.phase);
+    if (!same || !share_is_valid || goes_back)
         return failure{error_kind::malformed_message, "not a step of it"};
     return std::nullopt;
 }
@@ -152,10 +160,12 @@
         return {{move.to, 1, {}, false}};
     if (move.from.empty())
         return {};
-    if (move.phase == move_phase::taken_back || move.share <= 0)
+    const bool concentrated =
+        move.phase == move_phase::trial ||
+        (move.phase == move_phase::widen && move.stage == 0);
+    if (move.phase == move_phase::taken_back || move.share <= 0 ||
+        (concentrated && move.trial.empty()))
         return {{move.from, 1, {}, false}};
-    if (move.phase == move_phase::soak)
-        return {{move.to, 1, {}, true}};
     std::vector<version_share> split{{move.to, move.share, move.trial, true}};
     double rest = 1 - move.share;
     if (!move.control.empty() && rest > move.share)
--- a/tests/state/replicated_state_test.cpp
+++ b/tests/state/replicated_state_test.cpp
@@ -142,11 +142,21 @@
     }
     SECTION("of two leaders' next steps one is taken")
     {
-        const auto next = next_of(run, begun.move, move_phase::trial, 0.05);
+        auto next = next_of(run, begun.move, move_phase::trial, 0.05);
+        next.trial = {{"u1"}};
         CHECK_FALSE(run(advance_move{next}).error);
         CHECK(run(advance_move{next}).error->kind == error_kind::fenced);
         CHECK(split().front().share == 0.05);
         CHECK(split().front().on_trial);
+
+        SECTION("without an upstream for its trial, it gets nothing")
+        {
+            next = next_of(run, begun.move, move_phase::trial, 0.05);
+            next.trial.clear();
+            run(advance_move{next});
+            CHECK(split().size() == 1);
+            CHECK(split().front().version.value == "v1");
+        }
     }
     SECTION("it ends once")
     {
