Ask a second upstream before a slow one condemns the version

Cause: an upstream was called suspect as soon as it alone had enough answers, even with a second trial upstream about to have them; and a latency score never held the widening.

--- a/src/rollout/local_rule.cpp
+++ b/src/rollout/local_rule.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+/// Whether a slow upstream is a suspect is for the leader to say.
+constexpr std::size_t any_number = 2;
+
 std::optional<version_name> trial_of(const std::vector<version_share>& shares)
 {
     for (const version_share& share : shares)
@@ -79,7 +82,7 @@
             at.known.crashes = 0;
             at.known.new_lengths = {};
         }
-        if (!at.stopped && judge(at.known, at.tests, policy).bad)
+        if (!at.stopped && judge(at.known, at.tests, any_number, policy).bad)
             at.stopped = now;
         if (at.stopped)
             stopped.emplace_back(service, at.version);
--- a/src/rollout/sequential_test.cpp
+++ b/src/rollout/sequential_test.cpp
@@ -316,7 +316,8 @@
 
 void judge_latency(
     verdict& so_far,
-    const std::map<std::pair<test_metric, load_band>, upstream_votes>& votes)
+    const std::map<std::pair<test_metric, load_band>, upstream_votes>& votes,
+    std::size_t carriers)
 {
     for (const auto& [what, vote] : votes)
     {
@@ -325,7 +326,7 @@
                 so_far,
                 what.first,
                 " under " + std::string(to_name(what.second)) + " load");
-        else if (vote.slow == 1 && vote.all == 1)
+        else if (vote.slow == 1 && carriers == 1)
             so_far.suspect = vote.last_slow;
     }
 }
@@ -372,6 +373,7 @@
 verdict judge(
     const comparison& known,
     const std::vector<test_stream>& tests,
+    std::size_t carriers,
     const test_policy& policy)
 {
     verdict result;
@@ -383,6 +385,7 @@
             judge_rate(result, known, test, policy);
             continue;
         }
+        result.doubtful |= highest(test) >= policy.hold;
         if (test.observed < policy.upstream_requests)
             continue;
         auto& vote = votes[{test.metric, test.band}];
@@ -392,7 +395,7 @@
         ++vote.slow;
         vote.last_slow = test.target;
     }
-    judge_latency(result, votes);
+    judge_latency(result, votes, carriers);
     judge_length(result, known, policy);
     return result;
 }
--- a/src/rollout/sequential_test.hpp
+++ b/src/rollout/sequential_test.hpp
@@ -100,10 +100,12 @@
     std::string reason;
 };
 
-/// Judges the version by its tests.
+/// Judges the version by its tests. `carriers` upstreams carry its share; one
+/// that is slow is a suspect only if it is the only one.
 verdict judge(
     const comparison& known,
     const std::vector<test_stream>& tests,
+    std::size_t carriers,
     const test_policy& policy);
 
 } // namespace bergamotusher::rollout
--- a/src/rollout/upstream_plan.cpp
+++ b/src/rollout/upstream_plan.cpp
@@ -161,11 +161,9 @@
     return found;
 }
 
-std::size_t trial_size(const version_move& move, const evidence_view& view)
+std::size_t trial_size(const version_move& move)
 {
-    const bool enough = move.base >= small_service ||
-                        serving_of(move, view, move.to).size() >= 2;
-    return enough ? 2 : 1;
+    return move.base >= small_service ? 2 : 1;
 }
 
 std::size_t
--- a/src/rollout/upstream_plan.hpp
+++ b/src/rollout/upstream_plan.hpp
@@ -12,8 +12,9 @@
     const evidence_view& view,
     const version_name& version);
 
-/// Upstreams that carry the trial: two where there are enough.
-std::size_t trial_size(const version_move& move, const evidence_view& view);
+/// Upstreams that carry the trial: two, or one of a small service, so that
+/// the share can bring it to full load.
+std::size_t trial_size(const version_move& move);
 
 /// Upstreams of the new version that `share` of the traffic needs.
 std::size_t
--- a/src/rollout/version_moves.cpp
+++ b/src/rollout/version_moves.cpp
@@ -126,8 +126,8 @@
         (move.phase == move_phase::widen && move.stage == 0);
     if (concentrated)
     {
-        trial = pick_spread(
-            move, at.view, move.to, trial_size(move, at.view), move.trial);
+        trial =
+            pick_spread(move, at.view, move.to, trial_size(move), move.trial);
         control =
             pick_spread(move, at.view, move.from, trial.size(), move.control);
     }
@@ -155,11 +155,18 @@
     enter(at, move_phase::trial, move.trial_share);
 }
 
+verdict judge(const step_context& at)
+{
+    const std::size_t carriers =
+        at.move.trial.empty() ? serving_of(at.move, at.view, at.move.to).size()
+                              : at.move.trial.size();
+    return judge(at.memory.known, at.move.tests, carriers, at.policy.tests);
+}
+
 /// True if the move came to its end, or went back to an earlier trial.
 bool apply_verdict(step_context& at)
 {
-    const verdict result =
-        judge(at.memory.known, at.move.tests, at.policy.tests);
+    const verdict result = judge(at);
     if (result.bad)
     {
         end(at, move_phase::taken_back, result.reason);
@@ -202,8 +209,7 @@
 /// Whether the stage has shown enough to go on.
 bool stage_is_done(const step_context& at)
 {
-    const verdict result =
-        judge(at.memory.known, at.move.tests, at.policy.tests);
+    const verdict result = judge(at);
     const auto observed = at.move.stage_observed;
     const double longest =
         at.policy.longest_stage * static_cast<double>(whole_time(at.move));
@@ -240,7 +246,7 @@
 /// over, so that loading does not hold up the stages.
 std::size_t wanted_upstreams(const step_context& at)
 {
-    const std::size_t trial = trial_size(at.move, at.view);
+    const std::size_t trial = trial_size(at.move);
     if (at.move.phase == move_phase::load || at.move.phase == move_phase::trial)
         return trial;
     return std::max(trial, needed_for(at.move, at.policy, next_share(at)));
@@ -281,7 +287,7 @@
     {
     case move_phase::load:
         if (serving_of(at.move, at.view, at.move.to).size() >=
-            trial_size(at.move, at.view))
+            trial_size(at.move))
             enter(at, move_phase::trial, at.move.trial_share);
         break;
     case move_phase::trial:
