Compare under full load, and take no overload for a bad version

Causes: a good version brought to full load was refused more often than the old one and so looked bad; the trial never had a control under the same load; an upstream's noise was enough to confirm another's; a late stage widened in spite of doubt.

--- a/bench/move_bench.cpp
+++ b/bench/move_bench.cpp
@@ -161,6 +161,10 @@
     move.phase = now < baseline_trial_seconds ? move_phase::widen : move.phase;
     move.stage = 1;
     move.share = 0.05;
+    if (move.trial.empty())
+        for (const auto& up : sim.upstreams)
+            if (is_new(up))
+                move.trial.push_back(up.view.id);
     if (now < baseline_trial_seconds)
         return;
     const bool fails = sim.failed[1] / std::max(1.0, n[1]) >
--- a/include/bergamotusher/version_move.hpp
+++ b/include/bergamotusher/version_move.hpp
@@ -96,9 +96,10 @@
     std::uint32_t base = 0;
     /// Upstreams that carry the share; empty: all of the version.
     std::vector<upstream_id> trial;
-    /// Upstreams of the old version that carry an equal share, to compare
-    /// under the same load.
+    /// Upstreams of the old version that are brought to full load, to
+    /// compare under the same load, and their share, 0 to 1.
     std::vector<upstream_id> control;
+    double control_share = 0;
     /// Upstreams that were slow while the version had no other one to
     /// confirm it; they carry none of the share.
     std::vector<upstream_id> suspects;
--- a/src/rollout/evidence_recorder.cpp
+++ b/src/rollout/evidence_recorder.cpp
@@ -88,6 +88,10 @@
         recorder.broken.push_back({now, key, observed.target});
         return;
     case attempt_failure::refused:
+        // At full load a refusal speaks of the load.
+        if (key.band != load_band::full)
+            ++sum_of(recorder, key, observed.target).failed;
+        return;
     case attempt_failure::malformed:
     case attempt_failure::silent:
     case attempt_failure::server_error:
--- a/src/rollout/version_moves.cpp
+++ b/src/rollout/version_moves.cpp
@@ -69,11 +69,44 @@
     }
 }
 
+/// The share that brings `count` upstreams to full load.
+double loaded_share(const step_context& at, std::size_t count)
+{
+    const double base = std::max<double>(at.move.base, 1);
+    const double utilisation = std::clamp(at.view.utilisation, 0.1, 1.0);
+    return static_cast<double>(count) / base * at.policy.full_load /
+           utilisation;
+}
+
+/// The share of the stage that loads the trial upstreams.
+double trial_load_share(const step_context& at)
+{
+    return std::clamp(
+        loaded_share(at, at.move.trial.size()),
+        at.move.trial_share,
+        at.policy.largest_loaded_share);
+}
+
+/// The control upstreams get what brings them to full load, as far as the
+/// other old upstreams keep their part.
+double control_share_of(const step_context& at)
+{
+    const auto controls = at.move.control.size();
+    const auto old = serving_of(at.move, at.view, at.move.from).size();
+    const double rest = 1 - at.move.share;
+    if (controls == 0)
+        return 0;
+    if (controls >= old)
+        return rest;
+    return std::min(loaded_share(at, controls), 0.8 * rest);
+}
+
 void enter(step_context& at, move_phase phase, double share)
 {
     at.move.phase = phase;
     at.move.phase_started = at.wall;
     at.move.share = share;
+    at.move.control_share = control_share_of(at);
     at.move.stage_observed = 0;
     at.memory.old_routes.clear();
     at.memory.new_routes.clear();
@@ -114,27 +147,36 @@
     }
 }
 
-/// Keeps the trial and control upstreams those that still serve. In later
-/// stages all upstreams of the version carry the share.
+/// As few upstreams as can carry the share, so that these reach full load.
+std::size_t carriers_wanted(const step_context& at)
+{
+    const double load = at.move.share * at.move.base * at.view.utilisation;
+    const auto wanted =
+        static_cast<std::size_t>(std::ceil(load / at.policy.full_load));
+    return at.move.stage == 0 ? trial_size(at.move)
+                              : std::max(wanted, trial_size(at.move));
+}
+
+/// Keeps the trial and control upstreams those that still serve. In the soak
+/// all upstreams of the version carry the share.
 void choose_upstreams(step_context& at)
 {
     version_move& move = at.move;
     std::vector<upstream_id> trial;
     std::vector<upstream_id> control;
-    const bool concentrated =
-        move.phase == move_phase::trial ||
-        (move.phase == move_phase::widen && move.stage == 0);
-    if (concentrated)
-    {
-        trial =
-            pick_spread(move, at.view, move.to, trial_size(move), move.trial);
+    if (move.phase == move_phase::trial || move.phase == move_phase::widen)
+        trial = pick_spread(
+            move, at.view, move.to, carriers_wanted(at), move.trial);
+    const bool compares = move.phase == move_phase::trial ||
+                          (move.phase == move_phase::widen && move.stage == 0);
+    if (compares)
         control =
             pick_spread(move, at.view, move.from, trial.size(), move.control);
-    }
     if (trial == move.trial && control == move.control)
         return;
     move.trial = std::move(trial);
     move.control = std::move(control);
+    move.control_share = control_share_of(at);
     at.changed = true;
 }
 
@@ -206,6 +248,25 @@
     return true;
 }
 
+/// Whether each trial upstream was seen under full load, where the stage is
+/// there for that.
+bool load_is_covered(const step_context& at)
+{
+    if (at.move.phase != move_phase::widen || at.move.stage != 0)
+        return true;
+    const auto seen_at_full = [&](const upstream_id& id)
+    {
+        for (const test_stream& test : at.move.tests)
+            if (test.metric == test_metric::first_token && test.target == id &&
+                test.band == load_band::full &&
+                test.observed >= at.policy.loaded_requests)
+                return true;
+        return false;
+    };
+    return std::all_of(
+        at.move.trial.begin(), at.move.trial.end(), seen_at_full);
+}
+
 /// Whether the stage has shown enough to go on.
 bool stage_is_done(const step_context& at)
 {
@@ -213,23 +274,13 @@
     const auto observed = at.move.stage_observed;
     const double longest =
         at.policy.longest_stage * static_cast<double>(whole_time(at.move));
-    const bool is_late = static_cast<double>(stage_age(at)) >= longest;
-    if (is_late)
+    const auto age = static_cast<double>(stage_age(at));
+    if (age >= longest && (!result.doubtful || age >= 2 * longest))
         return observed * late_stage_part >= at.policy.stage_requests;
     return !result.doubtful &&
            stage_age(at) >= milliseconds(at.policy.stage_time) &&
-           observed >= at.policy.stage_requests && routes_are_covered(at);
-}
-
-/// The share that brings the trial upstreams to full load.
-double loaded_share(const step_context& at)
-{
-    const double base = std::max<double>(at.move.base, 1);
-    const double utilisation = std::clamp(at.view.utilisation, 0.1, 1.0);
-    const double share = static_cast<double>(at.move.trial.size()) / base *
-                         at.policy.full_load / utilisation;
-    return std::clamp(
-        share, at.move.trial_share, at.policy.largest_loaded_share);
+           observed >= at.policy.stage_requests && routes_are_covered(at) &&
+           load_is_covered(at);
 }
 
 /// The share of the stage after the present one.
@@ -237,7 +288,7 @@
 {
     const auto& shares = at.policy.widened_shares;
     if (at.move.phase == move_phase::trial)
-        return loaded_share(at);
+        return trial_load_share(at);
     return at.move.stage < shares.size() ? shares[at.move.stage]
                                          : at.policy.soak_share;
 }
--- a/src/rollout/version_moves.hpp
+++ b/src/rollout/version_moves.hpp
@@ -33,6 +33,8 @@
     double route_requests = 10;
     /// Routes with less than this part of the traffic need none.
     double route_part = 0.02;
+    /// Requests of each trial upstream under full load.
+    std::uint64_t loaded_requests = 40;
     duration stage_time = 20s;
     /// Longest part of a move's time for one stage, 0 to 1; after it a
     /// quarter of the requests will do.
@@ -40,7 +42,7 @@
     /// The utilisation that trial upstreams are brought to, 0 to 1.
     double full_load = 0.9;
     /// The largest share while the version has only its trial upstreams.
-    double largest_loaded_share = 0.34;
+    double largest_loaded_share = 0.6;
     /// Shares of the stages after that.
     std::vector<double> widened_shares = {0.3, 0.6};
     /// The version's share in the soak; the old version keeps the rest, to
--- a/src/state/convert.cpp
+++ b/src/state/convert.cpp
@@ -286,6 +286,7 @@
     write_ids(to.mutable_control(), from.control);
     write_ids(to.mutable_suspects(), from.suspects);
     to.set_base(from.base);
+    to.set_control_share(from.control_share);
     for (const load_order& order : from.orders)
         write(*to.add_orders(), order);
     for (const test_stream& test : from.tests)
@@ -314,6 +315,7 @@
     to.control = read_ids(from.control());
     to.suspects = read_ids(from.suspects());
     to.base = from.base();
+    to.control_share = from.control_share();
     for (const auto& order : from.orders())
         to.orders.push_back(read(order));
     for (const auto& test : from.tests())
--- a/src/state/moves.cpp
+++ b/src/state/moves.cpp
@@ -135,8 +135,9 @@
     const bool same = next.service == held.service && next.to == held.to &&
                       next.deadline == held.deadline &&
                       (held.from.empty() || next.from == held.from);
-    const bool share_is_valid =
-        std::isfinite(next.share) && next.share >= 0 && next.share <= 1;
+    const bool share_is_valid = next.share >= 0 && next.share <= 1 &&
+                                next.control_share >= 0 &&
+                                next.control_share <= 1;
     const bool goes_back = rank(next.phase) < rank(held.phase);
     if (!same || !share_is_valid || goes_back)
         return failure{error_kind::malformed_message, "not a step of it"};
@@ -161,17 +162,17 @@
     if (move.from.empty())
         return {};
     const bool concentrated =
-        move.phase == move_phase::trial ||
-        (move.phase == move_phase::widen && move.stage == 0);
+        move.phase == move_phase::trial || move.phase == move_phase::widen;
     if (move.phase == move_phase::taken_back || move.share <= 0 ||
         (concentrated && move.trial.empty()))
         return {{move.from, 1, {}, false}};
     std::vector<version_share> split{{move.to, move.share, move.trial, true}};
     double rest = 1 - move.share;
-    if (!move.control.empty() && rest > move.share)
+    const double compared = std::min(move.control_share, rest);
+    if (!move.control.empty() && compared > 0)
     {
-        split.push_back({move.from, move.share, move.control, false});
-        rest -= move.share;
+        split.push_back({move.from, compared, move.control, false});
+        rest -= compared;
     }
     if (rest > 0)
         split.push_back({move.from, rest, {}, false});
