--- a/src/rollout/sequential_test.cpp
+++ b/src/rollout/sequential_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <initializer_list>
+#include <optional>
 
 namespace bergamotusher::rollout
 {
@@ -24,9 +25,12 @@
 
 /// Answers of the old version before latencies are compared.
 constexpr double least_reference = 20;
-/// A latency is compared where the old version's tail is at most this.
-constexpr double largest_tail = 0.4;
-constexpr double tail_margin = 0.02;
+/// Latencies up to this many times the old version's are good.
+constexpr double tolerated_factor = 1.19;
+/// Spread that is assumed at least, in squared buckets.
+constexpr double least_variance = 1;
+/// The most that one answer moves a score.
+constexpr double largest_weight = 2;
 
 /// Pauses that are longer fade no further.
 duration fading_time(const reference& at, time_point now)
@@ -205,47 +209,68 @@
         {between(allowed, 0.01), between(allowed, 0.1)});
 }
 
-/// Where latencies are cut, and how many of the new version may lie above:
-/// as many as of the old version lie above the bucket below.
-struct latency_cut
+/// The old version's latencies, as a normal distribution over buckets: the
+/// logarithm of a latency.
+struct latency_shape
 {
-    std::size_t bucket = 0;
-    double allowed = 0;
+    double mean = 0;
+    double variance = 0;
 };
 
-latency_cut cut_of(const std::array<double, latency_buckets>& counts)
+std::optional<latency_shape>
+shape_of(const std::array<double, latency_buckets>& counts)
 {
     double total = 0;
-    for (const double each : counts)
-        total += each;
+    double sum = 0;
+    double squares = 0;
+    for (std::size_t i = 0; i < latency_buckets; ++i)
+    {
+        const auto at = static_cast<double>(i);
+        total += counts[i];
+        sum += at * counts[i];
+        squares += at * at * counts[i];
+    }
     if (total < least_reference)
-        return {};
-    double above = 0;
-    std::size_t bucket = latency_buckets;
-    while (bucket > 1 && above + counts[bucket - 1] <= largest_tail * total)
-        above += counts[--bucket];
-    const double tail = above / total;
-    const double deviation = std::sqrt((tail + 0.01) * (1 - tail) / total);
-    return {bucket + 1, tail + deviation + tail_margin};
+        return std::nullopt;
+    const double mean = sum / total;
+    const double variance =
+        std::max(squares / total - mean * mean, least_variance);
+    return latency_shape{mean + std::sqrt(variance / total), variance};
+}
+
+/// Buckets by which `factor` moves a latency.
+double shift_of(double factor)
+{
+    return latency_buckets_per_doubling * std::log2(factor);
 }
 
 void test_latency(
-    test_stream& stream, const latency_histogram& seen, const latency_cut& cut)
+    test_stream& stream,
+    const latency_histogram& seen,
+    const std::optional<latency_shape>& shape)
 {
-    if (cut.bucket == 0)
+    constexpr std::array factors{1.5, 2.0, 3.0};
+    if (!shape)
         return;
-    double good = 0;
-    double bad = 0;
-    for (std::size_t i = 0; i < latency_buckets; ++i)
-        (i < cut.bucket ? good : bad) += seen.counts[i];
-    update(
-        stream,
-        bad,
-        good,
-        cut.allowed,
-        {between(cut.allowed, 0.25),
-         between(cut.allowed, 0.5),
-         between(cut.allowed, 0.85)});
+    stream.scores.resize(factors.size());
+    const double allowed = shape->mean + shift_of(tolerated_factor);
+    for (std::size_t f = 0; f < factors.size(); ++f)
+    {
+        const double expected = shape->mean + shift_of(factors[f]);
+        double& score = stream.scores[f];
+        for (std::size_t i = 0; i < latency_buckets; ++i)
+        {
+            const auto at = static_cast<double>(i);
+            const double ratio = (expected - allowed) *
+                                 (2 * at - allowed - expected) /
+                                 (2 * shape->variance);
+            score += seen.counts[i] *
+                     std::clamp(ratio, -largest_weight, largest_weight);
+        }
+        score = std::max(0.0, score);
+    }
+    for (const auto each : seen.counts)
+        stream.observed += each;
 }
 
 void test_latencies(
@@ -257,8 +282,8 @@
     const reference* at = find(known, {sample.key.route, band});
     if (at == nullptr)
         return;
-    const latency_cut first_token = cut_of(at->first_token);
-    const latency_cut token_gap = cut_of(at->token_gap);
+    const auto first_token = shape_of(at->first_token);
+    const auto token_gap = shape_of(at->token_gap);
     for (const auto& target : {sample.target, upstream_id{}})
     {
         test_latency(
