--- a/src/rollout/sequential_test.cpp
+++ b/src/rollout/sequential_test.cpp
@@ -336,12 +336,16 @@
     so_far.doubtful |= score >= policy.hold;
 }
 
+/// From this number on, a majority that leans will do.
+constexpr std::size_t many_upstreams = 5;
+
 /// Upstreams with a say in one latency metric and band, and the slow ones.
 struct upstream_votes
 {
     std::size_t all = 0;
     std::size_t slow = 0;
     std::size_t confirming = 0;
+    std::size_t leaning = 0;
     std::size_t doubtful = 0;
     /// The score of all upstreams together.
     double together = 0;
@@ -356,8 +360,11 @@
 {
     for (const auto& [what, vote] : votes)
     {
-        if (vote.together >= rejected && vote.confirming >= 2 &&
-            2 * vote.confirming > vote.all)
+        const bool confirmed =
+            vote.all >= many_upstreams
+                ? 2 * vote.leaning > vote.all
+                : vote.confirming >= 2 && 2 * vote.confirming > vote.all;
+        if (vote.together >= rejected && confirmed)
             reject(
                 so_far,
                 what.first,
@@ -429,6 +436,7 @@
             continue;
         ++vote.all;
         vote.confirming += highest(test) >= policy.confirm ? 1 : 0;
+        vote.leaning += highest(test) >= policy.confirm_among_many ? 1 : 0;
         vote.doubtful += highest(test) >= policy.hold ? 1 : 0;
         if (highest(test) < policy.reject)
             continue;
--- a/src/rollout/sequential_test.hpp
+++ b/src/rollout/sequential_test.hpp
@@ -30,8 +30,10 @@
     double reject = 10;
     /// A score of `hold` stops the widening until it falls.
     double hold = 4;
-    /// Upstreams with this score confirm that all together are slow.
-    double confirm = 4;
+    /// Upstreams with this score confirm that all together are slow: among
+    /// few, and among many.
+    double confirm = 6;
+    double confirm_among_many = 3;
     /// Fewer crashes than this never reject, whatever the score.
     double least_crashes = 3;
     /// Requests that one upstream must have answered to have a say.
--- a/src/rollout/version_moves.cpp
+++ b/src/rollout/version_moves.cpp
@@ -49,6 +49,24 @@
            at.move.deadline.milliseconds - milliseconds(at.policy.end_margin);
 }
 
+/// Notes whether a failure domain lost two and more than half of its
+/// upstreams since the last step.
+void watch_domains(step_context& at)
+{
+    std::map<failure_domain, std::size_t> serving;
+    for (const upstream_view& each : at.view.upstreams)
+        if (each.serving)
+            ++serving[each.domain];
+    for (const auto& [domain, before] : at.memory.serving)
+    {
+        const auto found = serving.find(domain);
+        const std::size_t after = found == serving.end() ? 0 : found->second;
+        if (before >= after + 2 && 2 * after < before)
+            at.memory.disturbed_until = at.now + at.policy.disturbed_time;
+    }
+    at.memory.serving = std::move(serving);
+}
+
 void absorb(step_context& at)
 {
     for (const evidence_sample& sample : at.view.samples)
@@ -62,7 +80,16 @@
     {
         if (sample.key.version != at.move.to)
             continue;
-        absorb_new(at.memory.known, at.move.tests, sample);
+        if (at.now < at.memory.disturbed_until && sample.crashed > 0)
+        {
+            evidence_sample excused = sample;
+            excused.crashed = 0;
+            absorb_new(at.memory.known, at.move.tests, excused);
+        }
+        else
+        {
+            absorb_new(at.memory.known, at.move.tests, sample);
+        }
         at.memory.new_routes[sample.key.route] += sample.succeeded;
         at.move.stage_observed += sample.succeeded;
         at.memory.unsaved_evidence = true;
@@ -430,6 +457,7 @@
         return move.sequence > view.committed_sequence
                    ? std::vector<move_action>{}
                    : order_after_end(at);
+    watch_domains(at);
     absorb(at);
     if (move.sequence > view.committed_sequence)
         return {};
--- a/src/rollout/version_moves.hpp
+++ b/src/rollout/version_moves.hpp
@@ -65,6 +65,9 @@
     /// After a refusal, doubled with each try.
     duration shortest_retry = 5s;
     duration longest_retry = 60s;
+    /// After most of a domain's upstreams went at once, crashes are no
+    /// evidence for this long.
+    duration disturbed_time = 5s;
     /// Longest time between commits while there is evidence.
     duration checkpoint_time = 10s;
 };
@@ -105,6 +108,10 @@
     /// Requests by route since the stage began.
     std::map<std::string, double> old_routes;
     std::map<std::string, double> new_routes;
+    /// Serving upstreams by failure domain at the last step.
+    std::map<failure_domain, std::size_t> serving;
+    /// Until then crashes may be those of a lost domain.
+    time_point disturbed_until;
     time_point committed;
     bool unsaved_evidence = false;
     /// Orders after the end, to load the winning version.
