Load the control upstreams just as the trial ones

Cause: control upstreams got their part of the old version's common share on top of their own and so ran overloaded; a version that was slow under load looked no slower than they did.

--- a/src/rollout/local_rule.hpp
+++ b/src/rollout/local_rule.hpp
@@ -20,6 +20,9 @@
 /// How long an entry's own stop lasts if the leader does not rule.
 inline constexpr duration local_stop_time = 60s;
 
+/// An entry has a part of the evidence only, so it asks for more of it.
+inline constexpr test_policy local_policy{12, 4, 9, 4};
+
 /// One entry's own tests of the version on trial at one service.
 struct local_tests
 {
@@ -44,7 +47,9 @@
 
 /// The versions that this entry sends nothing to now.
 std::vector<stopped_version> local_verdict(
-    local_evidence& known, time_point now, const test_policy& policy = {});
+    local_evidence& known,
+    time_point now,
+    const test_policy& policy = local_policy);
 
 /// The version, and its upstreams, for one request: by the shares, without
 /// the `stopped` versions as long as another one is left. `draw` is uniform
--- a/src/rollout/version_moves.cpp
+++ b/src/rollout/version_moves.cpp
@@ -114,18 +114,20 @@
         at.policy.largest_loaded_share);
 }
 
-/// The control upstreams get what brings them to full load, as far as the
-/// other old upstreams keep their part.
+/// The share that brings the control upstreams to full load, on top of their
+/// part of what all old upstreams get.
 double control_share_of(const step_context& at)
 {
-    const auto controls = at.move.control.size();
-    const auto old = serving_of(at.move, at.view, at.move.from).size();
+    const auto controls = static_cast<double>(at.move.control.size());
+    const auto old =
+        static_cast<double>(serving_of(at.move, at.view, at.move.from).size());
     const double rest = 1 - at.move.share;
     if (controls == 0)
         return 0;
     if (controls >= old)
         return rest;
-    return std::min(loaded_share(at, controls), 0.8 * rest);
+    const double wanted = loaded_share(at, 1) - rest / old;
+    return std::clamp(wanted / (1 / controls - 1 / old), 0.0, 0.8 * rest);
 }
 
 void enter(step_context& at, move_phase phase, double share)
