--- /dev/null
+++ b/tests/rollout/evidence_test.cpp
@@ -0,0 +1,157 @@
+#include "rollout/evidence_recorder.hpp"
+#include "rollout/local_rule.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotusher;
+using namespace bergamotusher::rollout;
+
+namespace
+{
+
+constexpr time_point start{};
+
+configuration on_trial()
+{
+    configuration value;
+    value.splits[{"s"}] = {
+        {{"v2"}, 0.05, {{"u2"}}, true}, {{"v1"}, 0.95, {}, false}};
+    return value;
+}
+
+attempt_observed
+seen(const char* version, std::optional<attempt_failure> failed)
+{
+    attempt_observed observed;
+    observed.target.value = version;
+    observed.key = {{"s"}, {version}, "/a", load_band::medium};
+    observed.failure = failed;
+    observed.first_token = 300ms;
+    observed.answered_tokens = 100;
+    return observed;
+}
+
+/// One report of `count` attempts, each tenth of them failed if `bad`.
+std::vector<evidence_sample> second_of(const char* version, int count, bool bad)
+{
+    evidence_recorder recorder;
+    watch(recorder, on_trial());
+    for (int i = 0; i < count; ++i)
+        observe(
+            recorder,
+            bad ? seen(version, attempt_failure::server_error)
+                : seen(version, std::nullopt),
+            start);
+    return take(recorder, start);
+}
+
+} // namespace
+
+TEST_CASE("an entry sums up what attempts showed")
+{
+    evidence_recorder recorder;
+    watch(recorder, on_trial());
+    observe(recorder, seen("v2", std::nullopt), start);
+    observe(recorder, seen("v2", attempt_failure::server_error), start);
+    observe(recorder, seen("v2", attempt_failure::connection_refused), start);
+    const auto samples = take(recorder, start);
+    REQUIRE(samples.size() == 1);
+    CHECK(samples.front().succeeded == 1);
+    CHECK(samples.front().failed == 1);
+    CHECK(take(recorder, start).empty());
+
+    SECTION("the report survives the wire")
+    {
+        const evidence_report report{7, samples, {{{"s"}, {"v2"}}}};
+        CHECK(parse_evidence(encode(report)) == report);
+        CHECK_FALSE(parse_evidence("\xff\xff"));
+    }
+    SECTION("services without a trial are not recorded")
+    {
+        watch(recorder, {});
+        observe(recorder, seen("v2", std::nullopt), start);
+        CHECK(take(recorder, start).empty());
+    }
+    SECTION("a refusal under full load is no evidence")
+    {
+        auto refused = seen("v2", attempt_failure::refused);
+        observe(recorder, refused, start);
+        refused.key.band = load_band::full;
+        observe(recorder, refused, start);
+        CHECK(take(recorder, start).front().failed == 1);
+    }
+}
+
+TEST_CASE("connections that break together are one crash")
+{
+    evidence_recorder recorder;
+    watch(recorder, on_trial());
+    for (int i = 0; i < 5; ++i)
+        observe(recorder, seen("v2", attempt_failure::broken), start);
+    CHECK(take(recorder, start).empty());
+
+    SECTION("once no excuse has come")
+    {
+        const auto samples = take(recorder, start + excuse_time);
+        REQUIRE(samples.size() == 1);
+        CHECK(samples.front().crashed == 1);
+    }
+    SECTION("and none if the upstream was reclaimed")
+    {
+        excuse(recorder, {"v2"}, start + excuse_time / 2);
+        CHECK(take(recorder, start + excuse_time).empty());
+    }
+}
+
+TEST_CASE("an entry stops a failing version by itself")
+{
+    local_evidence known;
+    for (int i = 0; i < 10; ++i)
+        absorb(known, on_trial(), second_of("v1", 20, false), start);
+    CHECK(local_verdict(known, start).empty());
+    absorb(known, on_trial(), second_of("v2", 5, true), start);
+    const std::vector<stopped_version> stopped{{{"s"}, {"v2"}}};
+    CHECK(local_verdict(known, start) == stopped);
+
+    SECTION("for a while, if the leader does not rule")
+    {
+        CHECK(local_verdict(known, start + local_stop_time - 1ms) == stopped);
+        CHECK(local_verdict(known, start + local_stop_time).empty());
+    }
+    SECTION("until the trial has ended")
+    {
+        absorb(known, {}, {}, start);
+        CHECK(local_verdict(known, start).empty());
+    }
+}
+
+TEST_CASE("failures that the old version shows as well stop nothing")
+{
+    local_evidence known;
+    for (int i = 0; i < 10; ++i)
+    {
+        absorb(known, on_trial(), second_of("v1", 10, true), start);
+        absorb(known, on_trial(), second_of("v1", 20, false), start);
+    }
+    absorb(known, on_trial(), second_of("v2", 5, true), start);
+    absorb(known, on_trial(), second_of("v2", 10, false), start);
+    CHECK(local_verdict(known, start).empty());
+}
+
+TEST_CASE("a request gets its version by the shares")
+{
+    const auto shares = on_trial().splits.at({"s"});
+    int trial = 0;
+    for (std::uint64_t i = 0; i < 1000; ++i)
+    {
+        const std::uint64_t draw = (2 * i + 1) * (~0ULL / 2000);
+        trial += pick_version(shares, {}, draw).version.value == "v2" ? 1 : 0;
+        CHECK(pick_version(shares, {{"v2"}}, draw).version.value == "v1");
+    }
+    CHECK(trial == 50);
+    CHECK(pick_version(shares, {}, ~0ULL).version.value == "v1");
+    CHECK(pick_version({}, {}, 7).version.empty());
+    CHECK(
+        pick_version({{{"v2"}, 1, {}, true}}, {{"v2"}}, 7).version.value ==
+        "v2");
+}
