Settings, HTTP server and client duties, supervisor, adapters, fakes

The parts of the path around the serving core: checked settings, callers and upstreams duties on Beast, and the fakes (engine, order desk, cloud), each a process of its own.

--- /dev/null
+++ b/src/daemon/http_server.cpp
@@ -0,0 +1,497 @@
+#include "daemon/http_server.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <deque>
+#include <optional>
+#include <system_error>
+
+namespace bergamotusher
+{
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using boost_error = boost::system::error_code;
+
+struct http_server::state
+{
+    state(asio::io_context& l, http_limits limit, http_handler handle)
+        : loop(l), acceptor(l), limits(limit), handler(std::move(handle))
+    {
+    }
+
+    asio::io_context& loop;
+    tcp::acceptor acceptor;
+    http_limits limits;
+    http_handler handler;
+    http_counters counters;
+    bool accepting = true;
+};
+
+namespace
+{
+
+std::string lower(std::string text)
+{
+    for (char& c : text)
+        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    return text;
+}
+
+http_request to_request(http::request<http::string_body>&& from)
+{
+    http_request result;
+    result.method = std::string(from.method_string());
+    result.target = std::string(from.target());
+    for (const auto& field : from)
+        result.headers[lower(std::string(field.name_string()))] =
+            std::string(field.value());
+    result.body = std::move(from.body());
+    return result;
+}
+
+error_kind kind_of_read(const boost_error& error)
+{
+    if (error == http::error::header_limit)
+        return error_kind::header_too_large;
+    if (error == http::error::body_limit)
+        return error_kind::body_too_large;
+    return error_kind::malformed_request;
+}
+
+// One connection. It answers one request after the other; while it waits for
+// an answer it watches the socket, so that a caller's departure is seen.
+class session : public http_exchange,
+                public std::enable_shared_from_this<session>
+{
+public:
+    template<class State>
+    session(tcp::socket socket, std::shared_ptr<State> server)
+        : stream_(std::move(socket))
+        , limits_(server->limits)
+        , counters_(server->counters)
+        , handler_(server->handler)
+        , accepting_(server->accepting)
+        , owner_(server)
+        , receive_timer_(stream_.get_executor())
+    {
+        ++counters_.open;
+        boost_error ignored;
+        stream_.socket().set_option(tcp::no_delay(true), ignored);
+    }
+
+    ~session() override
+    {
+        --counters_.open;
+    }
+
+    session(const session&) = delete;
+    session& operator=(const session&) = delete;
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->header_limit(limits_.header_bytes);
+        parser_->body_limit(limits_.body_bytes);
+        if (buffer_.size() > 0)
+            return read_request();
+        limit_receiving(limits_.idle_time);
+        await_first_byte();
+    }
+
+    void refuse(error_kind kind)
+    {
+        keep_alive_ = false;
+        answer_problem(*this, {kind, ""});
+    }
+
+    void
+    answer(int status, const http_fields& fields, std::string body) override
+    {
+        send_head(status, fields, body.size());
+        if (!body.empty())
+            push(std::move(body));
+        finish();
+    }
+
+    void begin(int status, const http_fields& fields) override
+    {
+        send_head(status, fields, std::nullopt);
+        chunked_ = true;
+    }
+
+    void write(std::string piece) override
+    {
+        if (piece.empty())
+            return;
+        char size[32];
+        std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+        push(size + std::move(piece) + "\r\n");
+    }
+
+    void end() override
+    {
+        if (chunked_)
+            push("0\r\n\r\n");
+        finish();
+    }
+
+    void abort() override
+    {
+        close();
+    }
+
+    void on_lost(std::function<void()> handler) override
+    {
+        lost_ = std::move(handler);
+    }
+
+private:
+    // Ends a read that takes too long, and leaves the socket open for the
+    // answer that says so.
+    void limit_receiving(duration time)
+    {
+        late_ = false;
+        receive_timer_.expires_after(time);
+        receive_timer_.async_wait(
+            [weak = weak_from_this()](boost_error error)
+            {
+                const auto self = weak.lock();
+                if (error || !self || self->answering_)
+                    return;
+                self->late_ = true;
+                boost_error ignored;
+                self->stream_.socket().cancel(ignored);
+            });
+    }
+
+    void await_first_byte()
+    {
+        stream_.async_read_some(
+            buffer_.prepare(read_size),
+            [self = shared_from_this()](boost_error error, std::size_t size)
+            {
+                if (error)
+                    return self->close();
+                self->buffer_.commit(size);
+                self->read_request();
+            });
+    }
+
+    void read_request()
+    {
+        limit_receiving(limits_.receive_time);
+        http::async_read(
+            stream_,
+            buffer_,
+            *parser_,
+            [self = shared_from_this()](boost_error error, std::size_t)
+            { self->on_read(error); });
+    }
+
+    void on_read(const boost_error& error)
+    {
+        if (error == http::error::end_of_stream ||
+            error == asio::error::connection_reset)
+            return close();
+        if (error)
+            return on_bad_read(error);
+        ++counters_.requests;
+        receive_timer_.cancel();
+        keep_alive_ = parser_->keep_alive();
+        answering_ = true;
+        auto request = to_request(parser_->release());
+        watch();
+        handler_(std::move(request), shared_from_this());
+    }
+
+    void on_bad_read(const boost_error& error)
+    {
+        const error_kind kind =
+            late_ ? error_kind::slow_sender : kind_of_read(error);
+        count_bad(kind);
+        answering_ = true;
+        refuse(kind);
+    }
+
+    void count_bad(error_kind kind)
+    {
+        if (kind == error_kind::slow_sender)
+            ++counters_.slow_senders;
+        else if (kind == error_kind::malformed_request)
+            ++counters_.malformed;
+        else
+            ++counters_.too_large;
+    }
+
+    void watch()
+    {
+        stream_.socket().async_wait(
+            tcp::socket::wait_read,
+            [self = shared_from_this()](boost_error error)
+            {
+                if (error || !self->answering_)
+                    return;
+                char byte = 0;
+                boost_error peeked;
+                self->stream_.socket().receive(
+                    asio::buffer(&byte, 1), tcp::socket::message_peek, peeked);
+                if (peeked)
+                    self->close();
+            });
+    }
+
+    void send_head(
+        int status,
+        const http_fields& fields,
+        std::optional<std::size_t> length)
+    {
+        http::response<http::empty_body> head;
+        head.version(11);
+        head.result(static_cast<unsigned>(status));
+        for (const auto& [name, value] : fields)
+            head.insert(name, value);
+        if (!accepting_)
+            keep_alive_ = false;
+        head.keep_alive(keep_alive_);
+        if (length)
+            head.content_length(*length);
+        else
+            head.chunked(true);
+        beast::flat_buffer text;
+        std::ostringstream out;
+        out << head.base();
+        push(out.str());
+    }
+
+    void push(std::string piece)
+    {
+        if (closed_)
+            return;
+        unsent_ += piece.size();
+        if (unsent_ > limits_.unsent_bytes)
+        {
+            ++counters_.slow_readers;
+            return close();
+        }
+        queue_ += piece;
+        if (!writing_)
+            send();
+    }
+
+    void send()
+    {
+        writing_ = true;
+        sending_.swap(queue_);
+        queue_.clear();
+        stream_.expires_after(limits_.send_time);
+        asio::async_write(
+            stream_,
+            asio::buffer(sending_),
+            [self = shared_from_this()](boost_error error, std::size_t)
+            { self->on_sent(error); });
+    }
+
+    void on_sent(const boost_error& error)
+    {
+        writing_ = false;
+        if (error)
+            return close();
+        unsent_ -= sending_.size();
+        sending_.clear();
+        if (!queue_.empty())
+            return send();
+        stream_.expires_never();
+        if (finished_)
+            next();
+    }
+
+    void finish()
+    {
+        finished_ = true;
+        lost_ = nullptr;
+        if (!writing_)
+            next();
+    }
+
+    void next()
+    {
+        if (!keep_alive_ || closed_)
+            return close();
+        finished_ = answering_ = chunked_ = false;
+        boost_error ignored;
+        stream_.socket().cancel(ignored);
+        asio::post(
+            stream_.get_executor(),
+            [self = shared_from_this()] { self->read(); });
+    }
+
+    void close()
+    {
+        if (closed_)
+            return;
+        closed_ = true;
+        receive_timer_.cancel();
+        boost_error ignored;
+        stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        stream_.close();
+        if (auto handler = std::exchange(lost_, nullptr))
+            handler();
+    }
+
+    static constexpr std::size_t read_size = 8 * 1024;
+
+    beast::tcp_stream stream_;
+    const http_limits& limits_;
+    http_counters& counters_;
+    const http_handler& handler_;
+    const bool& accepting_;
+    std::shared_ptr<void> owner_;
+    asio::steady_timer receive_timer_;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    std::function<void()> lost_;
+    std::string queue_;
+    std::string sending_;
+    std::size_t unsent_ = 0;
+    bool keep_alive_ = false;
+    bool late_ = false;
+    bool answering_ = false;
+    bool chunked_ = false;
+    bool writing_ = false;
+    bool finished_ = false;
+    bool closed_ = false;
+};
+
+template<class State>
+void accept(const std::shared_ptr<State>& server)
+{
+    server->acceptor.async_accept(
+        [server](boost_error error, tcp::socket socket)
+        {
+            if (!server->acceptor.is_open())
+                return;
+            if (!error)
+            {
+                ++server->counters.accepted;
+                auto one = std::make_shared<session>(std::move(socket), server);
+                if (server->counters.open > server->limits.connections)
+                {
+                    ++server->counters.over_limit;
+                    one->refuse(error_kind::too_many_connections);
+                }
+                else
+                    one->read();
+            }
+            accept(server);
+        });
+}
+
+} // namespace
+
+std::string http_request::header(const std::string& name) const
+{
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string() : found->second;
+}
+
+std::string http_request::path() const
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string http_request::query(const std::string& name) const
+{
+    const std::size_t mark = target.find('?');
+    if (mark == std::string::npos)
+        return {};
+    std::istringstream parts(target.substr(mark + 1));
+    for (std::string part; std::getline(parts, part, '&');)
+        if (part.compare(0, name.size() + 1, name + "=") == 0)
+            return part.substr(name.size() + 1);
+    return {};
+}
+
+http_server::http_server(
+    asio::io_context& loop,
+    const endpoint& where,
+    http_limits limits,
+    http_handler handler)
+    : state_(std::make_shared<state>(loop, limits, std::move(handler)))
+{
+    const tcp::endpoint local(asio::ip::make_address(where.ip), where.port);
+    try
+    {
+        state_->acceptor.open(local.protocol());
+        state_->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        state_->acceptor.bind(local);
+        state_->acceptor.listen();
+    }
+    catch (const boost::system::system_error& error)
+    {
+        throw std::system_error(
+            error.code().value(),
+            std::system_category(),
+            "cannot listen on " + to_string(where));
+    }
+    accept(state_);
+}
+
+http_server::~http_server() = default;
+
+const http_counters& http_server::counters() const
+{
+    return state_->counters;
+}
+
+void http_server::stop_accepting()
+{
+    state_->accepting = false;
+    boost_error ignored;
+    state_->acceptor.close(ignored);
+}
+
+std::string problem_document(const failure& error, run_claim run)
+{
+    const error_answer& row = answer_of(error.kind);
+    nlohmann::json document{
+        {"type", "about:blank"},
+        {"title", row.title},
+        {"status", row.http_status},
+        {"kind", row.name},
+        {"run", to_name(run)}};
+    if (!error.detail.empty())
+        document["detail"] = error.detail;
+    return document.dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void answer_problem(
+    http_exchange& exchange,
+    const failure& error,
+    run_claim run,
+    const http_fields& more)
+{
+    http_fields fields{{"Content-Type", "application/problem+json"}};
+    fields.insert(fields.end(), more.begin(), more.end());
+    exchange.answer(
+        answer_of(error.kind).http_status,
+        fields,
+        problem_document(error, run));
+}
+
+void answer_problem(http_exchange& exchange, const failure& error)
+{
+    answer_problem(exchange, error, answer_of(error.kind).run);
+}
+
+} // namespace bergamotusher
--- /dev/null
+++ b/src/daemon/upstreams_duty.hpp
@@ -0,0 +1,60 @@
+// The HTTP client towards upstreams: sends attempts, reads their answers, and
+// tells the serving duty what became of each.
+#pragma once
+
+#include "base/mailbox.hpp"
+
+#include <bergamotusher/serving.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+
+namespace bergamotusher
+{
+
+/// Limits of the client.
+struct upstreams_options
+{
+    duration connect_time = 1s;
+    /// Unused connections that are kept open for each address.
+    std::size_t idle_connections = 64;
+    std::uint32_t header_bytes = 16 * 1024;
+    /// Largest answer that is not a stream.
+    std::size_t body_bytes = 8 * 1024 * 1024;
+};
+
+/// Counts; read from any thread.
+struct upstreams_counters
+{
+    std::atomic<std::uint64_t> dispatched{0};
+    std::atomic<std::uint64_t> cancelled{0};
+    std::atomic<std::uint64_t> connected{0};
+    std::atomic<std::uint64_t> reused{0};
+    std::atomic<std::uint64_t> crossed_answers{0};
+};
+
+/// All attempts in flight at this entry. Belongs to its duty's loop.
+class upstreams_duty
+{
+public:
+    upstreams_duty(
+        boost::asio::io_context& loop,
+        mailbox<serving_input>& serving,
+        upstreams_options options = {});
+    ~upstreams_duty();
+
+    /// Takes `dispatch` and `cancel_attempt`; ignores other actions.
+    void take(serving_action&& action);
+
+    const upstreams_counters& counters() const;
+
+    struct state;
+
+private:
+    std::shared_ptr<state> state_;
+};
+
+} // namespace bergamotusher
