--- /dev/null
+++ b/tests/observe/counters_test.cpp
@@ -0,0 +1,107 @@
+#include "observe/counters.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace bergamotusher;
+using namespace bergamotusher::observe;
+
+namespace
+{
+
+request_observed request_of(duration first_token)
+{
+    request_observed value;
+    value.service.value = "assistant-llm";
+    value.work_class.value = "chat";
+    value.version.value = "v1";
+    value.first_token = first_token;
+    value.recomputed_tokens = 3;
+    value.cost = 0.25;
+    return value;
+}
+
+const latency_series& first_tokens(const counters& all)
+{
+    return all.requests.begin()->second.first_token;
+}
+
+bool has_line(const std::string& text, const std::string& line)
+{
+    return text.find("\n" + line + "\n") != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("latency quantiles come out near the true ones")
+{
+    // Few values are kept whole; many are estimated by markers.
+    const int values = GENERATE(10, 200, 20'000);
+    counters all;
+    for (int i = 1; i <= values; ++i)
+    {
+        // A fixed permutation, since values do not come in order.
+        const int rank = (i * 7'919) % values + 1;
+        count(all, request_of(duration(1'000'000LL * rank / values)));
+    }
+    const latency_summary summary = summary_of(first_tokens(all));
+    CHECK(summary.count == static_cast<std::uint64_t>(values));
+    CHECK(summary.mean == Approx(0.5).margin(0.1));
+    CHECK(summary.p50 == Approx(0.5).margin(0.1));
+    CHECK(summary.p95 == Approx(0.95).margin(0.051));
+    CHECK(summary.p99 == Approx(0.99).margin(0.02));
+}
+
+TEST_CASE("quantiles follow the last whole window, totals the whole life")
+{
+    counters all;
+    time_point now{};
+    roll(all, now);
+    count(all, request_of(900ms));
+    now += summary_window;
+    roll(all, now);
+    count(all, request_of(100ms));
+    CHECK(summary_of(first_tokens(all)).p50 == Approx(0.9));
+
+    now += summary_window;
+    roll(all, now);
+    CHECK(summary_of(first_tokens(all)).p50 == Approx(0.1));
+    CHECK(first_tokens(all).count == 2);
+    CHECK(first_tokens(all).sum == Approx(1.0));
+}
+
+TEST_CASE("counters are served as Prometheus text")
+{
+    counters all;
+    count(all, request_of(250ms));
+    count(all, error_observed{error_kind::overloaded});
+    count(all, ring_observed{"callers\"to\\serving", 7});
+    count(all, gauge_observed{gauge::control_bytes_sent, 12'345'678'901.0});
+    count(all, event_kind::move_taken_back);
+    const std::string text = prometheus_text(all);
+    const std::string labels =
+        R"(service="assistant-llm",class="chat",version="v1")";
+    const std::string p = "bergamotusher_";
+
+    CHECK(has_line(
+        text,
+        p + "first_token_seconds{" + labels + ",quantile=\"0.95\"} 0.25"));
+    CHECK(has_line(text, p + "first_token_seconds_count{" + labels + "} 1"));
+    CHECK(has_line(text, p + "recomputed_tokens_total{" + labels + "} 3"));
+    CHECK(has_line(text, p + "cost_total{" + labels + "} 0.25"));
+    CHECK(has_line(text, p + "errors_total{kind=\"overloaded\"} 1"));
+    CHECK(has_line(text, p + "events_total{kind=\"move_taken_back\"} 1"));
+    CHECK(has_line(text, p + "control_bytes_sent 12345678901"));
+
+    SECTION("label values are escaped")
+    {
+        CHECK(has_line(
+            text, p + R"(ring_refused_total{ring="callers\"to\\serving"} 7)"));
+    }
+
+    SECTION("latencies that were never seen have no lines")
+    {
+        CHECK(text.find("token_gap_seconds{") == std::string::npos);
+    }
+}
