Upstream directory and a first choice of upstream

The directory takes announcements with leases and incarnations; a record only moves forward, so late announcements revive nothing. Routing chooses the cheapest upstream that is predicted to meet the target, with load corrected by own dispatches, a view of each prefix cache, and ejection with probation.

--- a/include/bergamotusher/upstream.hpp
+++ b/include/bergamotusher/upstream.hpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace bergamotusher
 {
@@ -75,6 +76,23 @@
     double cache_used = 0;
     /// Output tokens a second over all running requests.
     double tokens_per_second = 0;
+
+    bool operator==(const load_report&) const = default;
+};
+
+/// Changes of an engine's prefix cache; late, and with gaps in `sequence`.
+struct cache_events
+{
+    upstream_id id;
+    /// Grows by one with each message of one incarnation.
+    std::uint64_t sequence = 0;
+    /// Hashes of prefix blocks, as `routing::prefix_blocks` makes them.
+    std::vector<std::uint64_t> stored;
+    std::vector<std::uint64_t> removed;
+    /// The whole cache was dropped before `stored`.
+    bool cleared = false;
+
+    bool operator==(const cache_events&) const = default;
 };
 
 constexpr auto enum_names(upstream_kind)
--- /dev/null
+++ b/src/membership/announcement.hpp
@@ -0,0 +1,43 @@
+// Reads what upstreams send about themselves: announcements and events.
+//
+// Upstreams are not trusted to be right: every field is checked, and a wrong
+// one is answered with a `failure` that names it and the reason.
+#pragma once
+
+#include <bergamotusher/error_kind.hpp>
+#include <bergamotusher/upstream.hpp>
+
+#include <optional>
+#include <string_view>
+#include <variant>
+
+namespace bergamotusher::membership
+{
+
+/// Limits of what an upstream may claim.
+inline constexpr std::uint32_t max_slots = 4'096;
+inline constexpr double max_price_per_hour = 10'000;
+inline constexpr std::uint32_t max_reported_requests = 1'000'000;
+inline constexpr double max_tokens_per_second = 10'000'000;
+inline constexpr std::size_t max_cache_blocks = 65'536;
+inline constexpr std::size_t max_name_length = 128;
+
+/// One message of events: either part may be absent.
+struct upstream_events
+{
+    std::optional<load_report> load;
+    std::optional<cache_events> cache;
+};
+
+/// Reads the body of `POST /v1/upstreams`. Errors: `malformed_request`.
+std::variant<upstream, failure> parse_announcement(std::string_view json);
+
+/// Reads the body of `POST /v1/upstreams/{instance}/events`; `id` is the
+/// instance in the path. Errors: `malformed_request`.
+std::variant<upstream_events, failure>
+parse_events(const upstream_id& id, std::string_view json);
+
+/// Whether `text` is IPv4:PORT or [IPv6]:PORT with a port that can be used.
+bool is_ip_and_port(std::string_view text);
+
+} // namespace bergamotusher::membership
--- /dev/null
+++ b/src/routing/choose.cpp
@@ -0,0 +1,303 @@
+#include "routing/choose.hpp"
+
+#include <boost/container/static_vector.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace bergamotusher::routing
+{
+
+namespace
+{
+
+using membership::directory;
+using membership::directory_entry;
+
+/// Most upstreams of a service that one choice looks at.
+constexpr std::size_t most_candidates = 64;
+/// Share of the target that a prediction may use up; the rest is for what
+/// the prediction cannot see.
+constexpr double first_token_margin = 0.7;
+constexpr double gap_margin = 0.9;
+/// Costs within this factor of the least are near equals.
+constexpr double near_equal = 1.1;
+/// Most of a service's upstreams that may be ejected at once.
+constexpr double most_ejected = 0.34;
+/// One request in so many may probe an upstream on probation.
+constexpr std::uint64_t probe_period = 8;
+constexpr duration shortest_wait = 5ms;
+constexpr duration longest_wait = 1s;
+
+struct candidate
+{
+    const directory_entry* entry = nullptr;
+    prediction expected;
+    health_state health = health_state::healthy;
+    bool avoided = false;
+    bool meets_target = false;
+};
+
+using candidates = boost::container::static_vector<candidate, most_candidates>;
+
+template<class T>
+bool holds(const std::vector<T>& list, const T& item)
+{
+    return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+bool permitted(const upstream& value, const choice_request& request)
+{
+    if (!request.versions.empty() && !holds(request.versions, value.version))
+        return false;
+    if (!request.only.empty() && !holds(request.only, value.id))
+        return false;
+    return !holds(request.excluded, value.id);
+}
+
+/// What an upstream is judged by that nothing is known of yet.
+const upstream_estimate& unknown_estimate()
+{
+    static const upstream_estimate value = []
+    {
+        upstream_estimate estimate;
+        estimate.speed = initial_speed();
+        return estimate;
+    }();
+    return value;
+}
+
+const upstream_estimate&
+estimate_of(const routing_state& state, const upstream& value)
+{
+    const auto found = state.upstreams.find(value.id);
+    const bool current = found != state.upstreams.end() &&
+                         found->second.incarnation == value.incarnation;
+    return current ? found->second : unknown_estimate();
+}
+
+double
+whole_answer_seconds(const prediction& expected, const choice_request& request)
+{
+    return expected.first_token_seconds +
+           expected.gap_seconds * request.expected_tokens;
+}
+
+bool meets(
+    const upstream& value,
+    const prediction& expected,
+    const choice_request& request)
+{
+    if (expected.first_token_seconds >
+        first_token_margin * to_seconds(request.target.first_token))
+        return false;
+    if (value.kind == upstream_kind::engine &&
+        expected.gap_seconds >
+            gap_margin * to_seconds(request.target.token_gap))
+        return false;
+    return whole_answer_seconds(expected, request) <=
+           to_seconds(request.time_left);
+}
+
+const std::vector<upstream_id>* members(
+    const directory& dir, const routing_state& state, const service_name& name)
+{
+    if (const auto found = state.subsets.find(name);
+        found != state.subsets.end() && !found->second.empty())
+        return &found->second;
+    const auto found = dir.by_service.find(name);
+    return found == dir.by_service.end() ? nullptr : &found->second;
+}
+
+candidate examine(
+    const directory_entry& entry,
+    const routing_state& state,
+    const choice_request& request,
+    time_point now)
+{
+    const upstream_estimate& estimate = estimate_of(state, entry.value);
+    candidate found;
+    found.entry = &entry;
+    found.expected = predict(entry.value, estimate, request, now);
+    found.health = state_at(estimate.health, now);
+    if (found.health == health_state::probation && !estimate.in_flight.empty())
+        found.health = health_state::ejected;
+    found.avoided = holds(request.avoided, entry.value.domain);
+    found.meets_target = meets(entry.value, found.expected, request);
+    return found;
+}
+
+candidates gather(
+    const directory& dir,
+    const routing_state& state,
+    const choice_request& request,
+    time_point now)
+{
+    candidates all;
+    const auto* ids = members(dir, state, request.service);
+    if (!ids)
+        return all;
+    for (const upstream_id& id : *ids)
+    {
+        const directory_entry* entry = find(dir, id);
+        if (!entry || !may_take_work(*entry, now) ||
+            !permitted(entry->value, request))
+            continue;
+        all.push_back(examine(*entry, state, request, now));
+        if (all.size() == most_candidates)
+            break;
+    }
+    return all;
+}
+
+/// Drops the ejected ones, unless these are too many to do without.
+void drop_ejected(candidates& all)
+{
+    const auto ejected = [](const candidate& one)
+    {
+        return one.health == health_state::ejected;
+    };
+    const auto count = std::count_if(all.begin(), all.end(), ejected);
+    const auto limit = most_ejected * static_cast<double>(all.size());
+    if (static_cast<double>(count) > limit)
+        return;
+    all.erase(std::remove_if(all.begin(), all.end(), ejected), all.end());
+}
+
+/// An upstream on probation whose turn it is, else null; the others on
+/// probation are dropped.
+const candidate* probe(candidates& all, const choice_request& request)
+{
+    const auto on_probation = [](const candidate& one)
+    {
+        return one.health == health_state::probation;
+    };
+    const auto found = std::find_if(all.begin(), all.end(), on_probation);
+    if (found == all.end())
+        return nullptr;
+    if (request.draw % probe_period == 0)
+        return &*found;
+    if (!std::all_of(all.begin(), all.end(), on_probation))
+        all.erase(
+            std::remove_if(all.begin(), all.end(), on_probation), all.end());
+    return nullptr;
+}
+
+bool sooner(const candidate& left, const candidate& right)
+{
+    return left.expected.first_token_seconds <
+           right.expected.first_token_seconds;
+}
+
+/// Of two drawn among the near equals of the cheapest, the sooner one.
+const candidate*
+cheapest(const candidates& all, const choice_request& request, bool avoided)
+{
+    double least = -1;
+    for (const candidate& one : all)
+        if (one.meets_target && one.avoided == avoided &&
+            (least < 0 || one.expected.cost < least))
+            least = one.expected.cost;
+    if (least < 0)
+        return nullptr;
+    boost::container::static_vector<const candidate*, most_candidates> near;
+    for (const candidate& one : all)
+        if (one.meets_target && one.avoided == avoided &&
+            one.expected.cost <= least * near_equal)
+            near.push_back(&one);
+    const candidate* first = near[request.draw % near.size()];
+    const candidate* second = near[(request.draw >> 32) % near.size()];
+    return sooner(*second, *first) ? second : first;
+}
+
+choice to_choice(const candidate& chosen)
+{
+    const upstream& value = chosen.entry->value;
+    choice made;
+    made.id = value.id;
+    made.version = value.version;
+    made.address = value.address;
+    made.domain = value.domain;
+    made.first_token = from_seconds(chosen.expected.first_token_seconds);
+    made.token_gap = from_seconds(chosen.expected.gap_seconds);
+    made.recomputed_tokens =
+        static_cast<std::uint32_t>(chosen.expected.recomputed_tokens);
+    return made;
+}
+
+/// No upstream meets the target: the soonest with a free slot, or a wait.
+choice_result fall_back(const candidates& all, const choice_request& request)
+{
+    const candidate* soonest = nullptr;
+    bool in_time = false;
+    for (const candidate& one : all)
+    {
+        in_time = in_time || whole_answer_seconds(one.expected, request) <=
+                                 to_seconds(request.time_left);
+        if (one.expected.used_share >= 1)
+            continue;
+        if (!soonest || sooner(one, *soonest))
+            soonest = &one;
+    }
+    if (!in_time)
+        return no_choice{no_choice_reason::too_late, longest_wait};
+    if (soonest)
+        return to_choice(*soonest);
+    const auto least = std::min_element(all.begin(), all.end(), sooner);
+    const duration over = from_seconds(least->expected.first_token_seconds) -
+                          request.target.first_token;
+    return no_choice{
+        no_choice_reason::wait, std::clamp(over, shortest_wait, longest_wait)};
+}
+
+} // namespace
+
+prediction predict(
+    const upstream& value,
+    const upstream_estimate& estimate,
+    const choice_request& request,
+    time_point now)
+{
+    prediction expected;
+    const speed_estimate& speed = estimate.speed;
+    const double held = cached_share(estimate.cache, request.prefix_blocks) *
+                        estimate.cache.confidence;
+    expected.recomputed_tokens = request.prompt_tokens * (1 - held);
+    const double requests = requests_at(estimate, now);
+    expected.used_share = requests / value.slots;
+    expected.gap_seconds = gap_at(speed, (requests + 1) / value.slots);
+    const double rate = speed.prompt_tokens_per_second;
+    const double own_wait = backlog_at(estimate, now) / rate;
+    const double computing = expected.recomputed_tokens / rate;
+    const double answering = expected.gap_seconds * request.expected_tokens;
+    const double over = std::max(0.0, requests + 1 - value.slots);
+    expected.first_token_seconds = speed.base_seconds + computing +
+                                   std::max(own_wait, wait_at(speed, now)) +
+                                   over * answering / value.slots;
+    const double full_gap = gap_at(speed, 1);
+    expected.cost =
+        value.price_per_hour / 3600 *
+        (computing + full_gap * request.expected_tokens / value.slots);
+    return expected;
+}
+
+choice_result choose_upstream(
+    const directory& dir,
+    const routing_state& state,
+    const choice_request& request,
+    time_point now)
+{
+    candidates all = gather(dir, state, request, now);
+    if (all.empty())
+        return no_choice{no_choice_reason::none_known, longest_wait};
+    drop_ejected(all);
+    if (const candidate* chosen = probe(all, request))
+        return to_choice(*chosen);
+    if (const candidate* chosen = cheapest(all, request, false))
+        return to_choice(*chosen);
+    if (const candidate* chosen = cheapest(all, request, true))
+        return to_choice(*chosen);
+    return fall_back(all, request);
+}
+
+} // namespace bergamotusher::routing
--- /dev/null
+++ b/src/routing/prefix.cpp
@@ -0,0 +1,175 @@
+#include "routing/prefix.hpp"
+
+#include <algorithm>
+#include <cstring>
+
+namespace bergamotusher::routing
+{
+
+namespace
+{
+
+/// What is left of a sum with each new summand.
+constexpr double sum_decay = 0.95;
+/// The view is never trusted less: it has to be tried to be confirmed.
+constexpr double least_confidence = 0.1;
+
+std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 33;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    return value ^ (value >> 33);
+}
+
+/// Hashes one block on top of the hash of all text before it.
+std::uint64_t extend(std::uint64_t hash, std::string_view block)
+{
+    for (std::size_t at = 0; at < block.size(); at += sizeof(hash))
+    {
+        std::uint64_t word = 0;
+        std::memcpy(&word, block.data() + at, sizeof(word));
+        hash = mix(hash ^ word) + 0x9e3779b97f4a7c15ULL;
+    }
+    return hash;
+}
+
+std::size_t set_of(std::uint64_t hash)
+{
+    return mix(hash) % prefix_sets;
+}
+
+/// What the engine is believed to know of the block: 0, 0.5 or 1.
+double weight_of(const prefix_view& view, std::uint64_t hash)
+{
+    for (const prefix_slot& slot : view.sets[set_of(hash)])
+    {
+        if (slot.hash != hash || slot.stamp == 0)
+            continue;
+        if (slot.stamp < view.dropped_below)
+            return 0;
+        return slot.stamp < view.doubtful_below ? 0.5 : 1;
+    }
+    return 0;
+}
+
+void enter(prefix_view& view, std::uint64_t hash)
+{
+    if (view.sets.empty())
+        view.sets.resize(prefix_sets);
+    auto& set = view.sets[set_of(hash)];
+    prefix_slot* place = set.data();
+    for (prefix_slot& slot : set)
+    {
+        if (slot.hash == hash)
+        {
+            place = &slot;
+            break;
+        }
+        if (slot.stamp < place->stamp)
+            place = &slot;
+    }
+    *place = {hash, view.stamp};
+}
+
+void forget(prefix_view& view, std::uint64_t hash)
+{
+    if (view.sets.empty())
+        return;
+    for (prefix_slot& slot : view.sets[set_of(hash)])
+        if (slot.hash == hash)
+            slot = {};
+}
+
+void note_gap(prefix_view& view)
+{
+    ++view.gaps;
+    view.dropped_below = view.doubtful_below;
+    view.doubtful_below = ++view.stamp;
+}
+
+} // namespace
+
+std::vector<std::uint64_t> prefix_blocks(std::string_view prompt)
+{
+    const std::size_t count =
+        std::min(prompt.size() / prefix_block_bytes, max_prefix_blocks);
+    std::vector<std::uint64_t> blocks;
+    blocks.reserve(count);
+    std::uint64_t hash = 0;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        hash = extend(
+            hash, prompt.substr(i * prefix_block_bytes, prefix_block_bytes));
+        blocks.push_back(hash);
+    }
+    return blocks;
+}
+
+double
+cached_share(const prefix_view& view, const std::vector<std::uint64_t>& blocks)
+{
+    if (view.sets.empty() || blocks.empty())
+        return 0;
+    double weight = weight_of(view, blocks.front());
+    if (weight == 0)
+        return 0;
+    // A prefix is held from its start on, so the end is found by halving.
+    std::size_t held = 1;
+    std::size_t missing = blocks.size() + 1;
+    while (missing - held > 1)
+    {
+        const std::size_t middle = (held + missing) / 2;
+        const double found = weight_of(view, blocks[middle - 1]);
+        if (found == 0)
+            missing = middle;
+        else
+        {
+            held = middle;
+            weight = std::min(weight, found);
+        }
+    }
+    const auto share =
+        static_cast<double>(held) / static_cast<double>(blocks.size());
+    return share * weight;
+}
+
+void remember(prefix_view& view, const std::vector<std::uint64_t>& blocks)
+{
+    ++view.stamp;
+    for (const std::uint64_t hash : blocks)
+        enter(view, hash);
+}
+
+void apply(prefix_view& view, const cache_events& events)
+{
+    if (events.sequence <= view.sequence)
+        return;
+    if (view.sequence != 0 && events.sequence != view.sequence + 1)
+        note_gap(view);
+    view.sequence = events.sequence;
+    if (events.cleared)
+        view.sets.clear();
+    for (const std::uint64_t hash : events.removed)
+        forget(view, hash);
+    ++view.stamp;
+    for (const std::uint64_t hash : events.stored)
+        enter(view, hash);
+}
+
+void expect(prefix_view& view, double tokens)
+{
+    view.expected_tokens = view.expected_tokens * sum_decay + tokens;
+}
+
+void confirm(prefix_view& view, double tokens)
+{
+    view.answered_tokens = view.answered_tokens * sum_decay + tokens;
+    if (view.answered_tokens <= 0 || view.expected_tokens <= 0)
+        return;
+    const double ratio = view.answered_tokens / view.expected_tokens;
+    view.confidence = std::clamp(ratio, least_confidence, 1.0);
+}
+
+} // namespace bergamotusher::routing
--- /dev/null
+++ b/src/routing/routing_state.cpp
@@ -0,0 +1,196 @@
+#include "routing/routing_state.hpp"
+
+#include <algorithm>
+
+namespace bergamotusher::routing
+{
+
+namespace
+{
+
+/// Weight in the class's estimate is by answers, over all its upstreams.
+speed_estimate& class_speed(routing_state& state, const std::string& name)
+{
+    return state.classes.try_emplace(name, initial_speed()).first->second;
+}
+
+upstream_estimate* known(routing_state& state, const upstream_id& id)
+{
+    const auto found = state.upstreams.find(id);
+    return found == state.upstreams.end() ? nullptr : &found->second;
+}
+
+void drop_before(std::deque<time_point>& times, time_point limit)
+{
+    while (!times.empty() && times.front() < limit)
+        times.pop_front();
+}
+
+/// Counts the end of the oldest own dispatch.
+void count_end(upstream_estimate& estimate, time_point now)
+{
+    if (estimate.in_flight.empty())
+        return;
+    estimate.in_flight.pop_front();
+    estimate.ended.push_back(now);
+    drop_before(estimate.ended, now - load_lifetime);
+}
+
+double used_share(const upstream_estimate& estimate, time_point now)
+{
+    return requests_at(estimate, now) / std::max(1U, estimate.slots);
+}
+
+/// How much slower the answer was than the class's upstreams are.
+double slowness_of(
+    const speed_estimate& usual, const attempt_observed& seen, double used)
+{
+    if (!seen.mean_gap)
+        return 1;
+    const double expected = gap_at(usual, used);
+    return expected > 0 ? to_seconds(*seen.mean_gap) / expected : 1;
+}
+
+/// The upstream's own failure, as against a full queue.
+bool is_fault(attempt_failure reason)
+{
+    return reason != attempt_failure::refused;
+}
+
+void learn(
+    routing_state& state,
+    upstream_estimate& estimate,
+    const attempt_observed& seen,
+    time_point now)
+{
+    const double used = used_share(estimate, now);
+    speed_estimate& usual = class_speed(state, estimate.instance_class);
+    note_success(estimate.health, slowness_of(usual, seen, used), now);
+    if (seen.first_token)
+    {
+        const double explained =
+            backlog_at(estimate, now) / estimate.speed.prompt_tokens_per_second;
+        const double tokens = seen.recomputed_tokens;
+        learn_first_token(
+            estimate.speed, *seen.first_token, tokens, explained, now);
+        learn_first_token(usual, *seen.first_token, tokens, explained, now);
+    }
+    if (seen.mean_gap)
+    {
+        learn_gap(estimate.speed, *seen.mean_gap, used);
+        learn_gap(usual, *seen.mean_gap, used);
+    }
+    confirm(estimate.cache, seen.cached_tokens);
+}
+
+} // namespace
+
+void on_announced(routing_state& state, const upstream& value)
+{
+    upstream_estimate& estimate = state.upstreams[value.id];
+    const bool fresh = estimate.instance_class.empty() ||
+                       value.incarnation > estimate.incarnation;
+    if (fresh)
+    {
+        estimate = {};
+        estimate.incarnation = value.incarnation;
+        estimate.speed = class_speed(state, value.instance_class);
+        estimate.speed.unexplained_wait = 0;
+    }
+    estimate.instance_class = value.instance_class;
+    estimate.slots = value.slots;
+}
+
+void on_dispatch(
+    routing_state& state,
+    const choice_request& request,
+    const choice& made,
+    time_point now)
+{
+    upstream_estimate* estimate = known(state, made.id);
+    if (!estimate)
+        return;
+    drop_before(estimate->in_flight, now - dispatch_lifetime);
+    drop_before(estimate->dispatched, now - load_lifetime);
+    estimate->in_flight.push_back(now);
+    estimate->dispatched.push_back(now);
+    estimate->backlog_tokens =
+        backlog_at(*estimate, now) + made.recomputed_tokens;
+    estimate->backlog_at = now;
+    const double share = cached_share(estimate->cache, request.prefix_blocks);
+    expect(estimate->cache, share * request.prompt_tokens);
+    remember(estimate->cache, request.prefix_blocks);
+}
+
+void on_observed(
+    routing_state& state, const attempt_observed& seen, time_point now)
+{
+    upstream_estimate* estimate = known(state, seen.target);
+    if (!estimate)
+        return;
+    if (!seen.failure)
+        learn(state, *estimate, seen, now);
+    else if (is_fault(*seen.failure))
+        note_failure(estimate->health, now);
+    count_end(*estimate, now);
+}
+
+void on_ended(routing_state& state, const upstream_id& id, time_point now)
+{
+    if (upstream_estimate* estimate = known(state, id))
+        count_end(*estimate, now);
+}
+
+void on_load(routing_state& state, const load_report& load, time_point now)
+{
+    upstream_estimate* estimate = known(state, load.id);
+    if (!estimate || load.sequence <= estimate->load.sequence)
+        return;
+    estimate->load = load;
+    estimate->load_at = now;
+    drop_before(estimate->dispatched, now - assumed_load_lag);
+    drop_before(estimate->ended, now - assumed_load_lag);
+}
+
+void on_cache_events(routing_state& state, const cache_events& events)
+{
+    if (upstream_estimate* estimate = known(state, events.id))
+        apply(estimate->cache, events);
+}
+
+void on_bad_input(routing_state& state, const upstream_id& id, time_point now)
+{
+    upstream_estimate* estimate = known(state, id);
+    if (!estimate)
+        return;
+    ++estimate->health.bad_input;
+    note_failure(estimate->health, now);
+}
+
+void on_lost(routing_state& state, const upstream_id& id)
+{
+    state.upstreams.erase(id);
+}
+
+double requests_at(const upstream_estimate& estimate, time_point now)
+{
+    const auto own = static_cast<double>(estimate.in_flight.size());
+    const bool reported =
+        estimate.load.sequence != 0 && now < estimate.load_at + load_lifetime;
+    if (!reported)
+        return own;
+    const double then =
+        static_cast<double>(estimate.load.running) + estimate.load.queued;
+    const double since = static_cast<double>(estimate.dispatched.size()) -
+                         static_cast<double>(estimate.ended.size());
+    return std::max(own, then + since);
+}
+
+double backlog_at(const upstream_estimate& estimate, time_point now)
+{
+    const double computed = to_seconds(now - estimate.backlog_at) *
+                            estimate.speed.prompt_tokens_per_second;
+    return std::max(0.0, estimate.backlog_tokens - computed);
+}
+
+} // namespace bergamotusher::routing
--- /dev/null
+++ b/src/routing/routing_state.hpp
@@ -0,0 +1,100 @@
+// What this entry has learned of each upstream: load, speed, cache, health.
+//
+// Load reports are late, so they are corrected by what this entry itself has
+// dispatched and seen finished since. Speeds are learned from answers, and a
+// new upstream starts from what its instance class has shown.
+#pragma once
+
+#include "routing/health.hpp"
+#include "routing/prefix.hpp"
+#include "routing/speed.hpp"
+
+#include <bergamotusher/choice.hpp>
+#include <bergamotusher/ids.hpp>
+#include <bergamotusher/serving.hpp>
+#include <bergamotusher/time.hpp>
+#include <bergamotusher/upstream.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+namespace bergamotusher::routing
+{
+
+/// How old a load report is taken to be when it arrives.
+inline constexpr duration assumed_load_lag = 500ms;
+/// A load report says nothing any more after this long.
+inline constexpr duration load_lifetime = 5s;
+/// A dispatch whose end was never seen counts no longer than this.
+inline constexpr duration dispatch_lifetime = 10min;
+
+/// One upstream, as seen from this entry.
+struct upstream_estimate
+{
+    /// The start of the upstream that all of this is about.
+    std::uint64_t incarnation = 0;
+    std::string instance_class;
+    std::uint32_t slots = 1;
+    load_report load;
+    time_point load_at;
+    /// Times of own dispatches whose end has not been seen, oldest first.
+    std::deque<time_point> in_flight;
+    /// Own dispatches and ends that the load report cannot include yet.
+    std::deque<time_point> dispatched;
+    std::deque<time_point> ended;
+    /// Prompt tokens dispatched and not yet computed, at `backlog_at`.
+    double backlog_tokens = 0;
+    time_point backlog_at;
+    speed_estimate speed;
+    health_record health;
+    prefix_view cache;
+};
+
+/// All that routing has learned.
+struct routing_state
+{
+    std::unordered_map<upstream_id, upstream_estimate> upstreams;
+    /// By instance class: what a new upstream starts from.
+    std::unordered_map<std::string, speed_estimate> classes;
+    /// Upstreams used of a service that has more than `subset_size`.
+    std::unordered_map<service_name, std::vector<upstream_id>> subsets;
+};
+
+/// An upstream announced itself or changed; a new incarnation starts afresh.
+void on_announced(routing_state& state, const upstream& value);
+
+/// A request was sent to the upstream of `made`.
+void on_dispatch(
+    routing_state& state,
+    const choice_request& request,
+    const choice& made,
+    time_point now);
+
+/// An attempt ended; counts its end and learns from what it showed.
+void on_observed(
+    routing_state& state, const attempt_observed& seen, time_point now);
+
+/// An attempt ended that is not observed, such as a cancelled one.
+void on_ended(routing_state& state, const upstream_id& id, time_point now);
+
+/// Takes a load report; one that is late is ignored.
+void on_load(routing_state& state, const load_report& load, time_point now);
+
+/// Takes a message of cache events.
+void on_cache_events(routing_state& state, const cache_events& events);
+
+/// Counts a message from the upstream that could not be read.
+void on_bad_input(routing_state& state, const upstream_id& id, time_point now);
+
+/// The upstream is gone; all that was learned of it is forgotten.
+void on_lost(routing_state& state, const upstream_id& id);
+
+/// Requests that the upstream runs or queues now, as far as can be told.
+double requests_at(const upstream_estimate& estimate, time_point now);
+
+/// Prompt tokens dispatched and not yet computed now.
+double backlog_at(const upstream_estimate& estimate, time_point now);
+
+} // namespace bergamotusher::routing
--- /dev/null
+++ b/src/routing/speed.cpp
@@ -0,0 +1,115 @@
+#include "routing/speed.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bergamotusher::routing
+{
+
+namespace
+{
+
+/// What is left of a point's weight with each newer one.
+constexpr double line_decay = 0.98;
+/// Weight of the points that stand for the initial assumption.
+constexpr double assumption_weight = 2;
+/// Seconds between tokens on an idle and on a full upstream, until known.
+constexpr double assumed_idle_gap = 0.015;
+constexpr double assumed_full_gap = 0.035;
+/// Weight of a new sample that shows a faster, and a slower, prompt rate.
+constexpr double faster_weight = 0.3;
+constexpr double slower_weight = 0.05;
+/// Prompts below this say nothing on the prompt rate.
+constexpr double least_prompt_tokens = 256;
+constexpr double wait_weight = 0.3;
+/// The unexplained wait falls by half in this time, in seconds.
+constexpr double wait_half_life = 2;
+constexpr double slowest_rate = 50;
+constexpr double fastest_rate = 1'000'000;
+
+void add_weighted(decaying_line& line, double x, double y, double weight)
+{
+    line.weight += weight;
+    line.x += weight * x;
+    line.y += weight * y;
+    line.xx += weight * x * x;
+    line.xy += weight * x * y;
+}
+
+} // namespace
+
+void add(decaying_line& line, double x, double y)
+{
+    line.weight *= line_decay;
+    line.x *= line_decay;
+    line.y *= line_decay;
+    line.xx *= line_decay;
+    line.xy *= line_decay;
+    add_weighted(line, x, y, 1);
+}
+
+double value_at(const decaying_line& line, double x)
+{
+    if (line.weight <= 0)
+        return 0;
+    const double mean_x = line.x / line.weight;
+    const double mean_y = line.y / line.weight;
+    const double spread = line.xx / line.weight - mean_x * mean_x;
+    const double joint = line.xy / line.weight - mean_x * mean_y;
+    const double slope = spread > 1e-6 ? std::max(0.0, joint / spread) : 0;
+    return std::max(mean_y + slope * (x - mean_x), mean_y / 10);
+}
+
+speed_estimate initial_speed()
+{
+    speed_estimate speed;
+    add_weighted(speed.gap, 0, assumed_idle_gap, assumption_weight);
+    add_weighted(speed.gap, 1, assumed_full_gap, assumption_weight);
+    return speed;
+}
+
+void learn_first_token(
+    speed_estimate& speed,
+    duration seen,
+    double recomputed_tokens,
+    double explained_seconds,
+    time_point now)
+{
+    const double seconds = to_seconds(seen);
+    const double computing =
+        std::max(seconds - speed.base_seconds - explained_seconds, 0.001);
+    if (recomputed_tokens >= least_prompt_tokens)
+    {
+        const double rate = std::clamp(
+            recomputed_tokens / computing, slowest_rate, fastest_rate);
+        const double weight = rate > speed.prompt_tokens_per_second
+                                  ? faster_weight
+                                  : slower_weight;
+        speed.prompt_tokens_per_second +=
+            weight * (rate - speed.prompt_tokens_per_second);
+    }
+    const double expected = recomputed_tokens / speed.prompt_tokens_per_second;
+    const double unexplained = std::max(0.0, computing - expected);
+    const double known = wait_at(speed, now);
+    speed.unexplained_wait = known + wait_weight * (unexplained - known);
+    speed.wait_at = now;
+    ++speed.samples;
+}
+
+void learn_gap(speed_estimate& speed, duration seen, double used_share)
+{
+    add(speed.gap, std::clamp(used_share, 0.0, 2.0), to_seconds(seen));
+}
+
+double gap_at(const speed_estimate& speed, double used_share)
+{
+    return value_at(speed.gap, std::clamp(used_share, 0.0, 2.0));
+}
+
+double wait_at(const speed_estimate& speed, time_point now)
+{
+    const double age = std::max(0.0, to_seconds(now - speed.wait_at));
+    return speed.unexplained_wait * std::exp2(-age / wait_half_life);
+}
+
+} // namespace bergamotusher::routing
--- /dev/null
+++ b/tests/routing/choose_test.cpp
@@ -0,0 +1,210 @@
+// The cheapest upstream that meets the target is chosen.
+#include "routing/choose.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace bergamotusher;
+using namespace bergamotusher::routing;
+using membership::directory;
+
+namespace
+{
+
+constexpr time_point start{1000s};
+
+struct world
+{
+    directory dir;
+    routing_state state;
+    choice_request request;
+
+    world()
+    {
+        request.service = {"llm"};
+        request.prompt_tokens = 200;
+        request.expected_tokens = 100;
+    }
+
+    void add(const std::string& id, const std::string& domain, double price)
+    {
+        upstream value;
+        value.id = {id};
+        value.incarnation = 1;
+        value.service = {"llm"};
+        value.version = {"v1"};
+        value.domain = {domain};
+        value.instance_class = "small";
+        value.price_per_hour = price;
+        value.slots = 4;
+        announce(dir, value, start);
+        on_announced(state, value);
+    }
+
+    choice_result ask(time_point now = start)
+    {
+        ++request.draw;
+        return choose_upstream(dir, state, request, now);
+    }
+
+    std::string chosen(time_point now = start)
+    {
+        const choice_result result = ask(now);
+        const auto* made = std::get_if<choice>(&result);
+        return made ? made->id.value : "";
+    }
+
+    std::string send(time_point now = start)
+    {
+        const choice_result result = ask(now);
+        const auto* made = std::get_if<choice>(&result);
+        if (!made)
+            return "";
+        on_dispatch(state, request, *made, now);
+        return made->id.value;
+    }
+
+    no_choice_reason refusal(time_point now = start)
+    {
+        return std::get<no_choice>(ask(now)).reason;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a service without upstreams has none to choose")
+{
+    world w;
+    CHECK(w.refusal() == no_choice_reason::none_known);
+}
+
+TEST_CASE("one of two upstreams is chosen")
+{
+    world w;
+    w.add("cheap", "suva", 1);
+    w.add("dear", "nadi", 2);
+
+    SECTION("the cheaper one while it meets the target")
+    {
+        CHECK(w.chosen() == "cheap");
+    }
+    SECTION("the dearer one when the cheaper one is full")
+    {
+        for (int i = 0; i < 4; ++i)
+            CHECK(w.send() == "cheap");
+        CHECK(w.send() == "dear");
+    }
+    SECTION("the one that the versions allow")
+    {
+        w.request.versions = {{"v2"}};
+        CHECK(w.refusal() == no_choice_reason::none_known);
+    }
+    SECTION("not one that already failed it")
+    {
+        w.request.excluded = {{"cheap"}};
+        CHECK(w.chosen() == "dear");
+    }
+    SECTION("not in an avoided failure domain, where another will do")
+    {
+        w.request.avoided = {{"suva"}};
+        CHECK(w.chosen() == "dear");
+        w.request.excluded = {{"dear"}};
+        CHECK(w.chosen() == "cheap");
+    }
+    SECTION("not one that has left or fell silent")
+    {
+        leave(w.dir, {"cheap"});
+        CHECK(w.chosen() == "dear");
+        CHECK(w.refusal(start + 2s) == no_choice_reason::none_known);
+    }
+    SECTION("a load report says that it is full")
+    {
+        on_load(w.state, {{"cheap"}, 2, 4, 3, 0, 0}, start);
+        CHECK(w.chosen() == "dear");
+        SECTION("an older report changes nothing")
+        {
+            on_load(w.state, {{"cheap"}, 1, 0, 0, 0, 0}, start);
+            CHECK(w.chosen() == "dear");
+        }
+        SECTION("a newer one does")
+        {
+            on_load(w.state, {{"cheap"}, 3, 0, 0, 0, 0}, start + 1s);
+            CHECK(w.chosen(start + 1s) == "cheap");
+        }
+    }
+    SECTION("none when all are full and waiting can help")
+    {
+        for (int i = 0; i < 8; ++i)
+            CHECK_FALSE(w.send().empty());
+        CHECK(w.refusal() == no_choice_reason::wait);
+    }
+    SECTION("none when the time left cannot suffice")
+    {
+        w.request.time_left = 100ms;
+        CHECK(w.refusal() == no_choice_reason::too_late);
+    }
+}
+
+TEST_CASE("an upstream that holds the prompt's prefix is preferred")
+{
+    world w;
+    w.add("a", "suva", 1);
+    w.add("b", "nadi", 1);
+    w.request.prompt_tokens = 4'000;
+    w.request.prefix_blocks = prefix_blocks(std::string(16'000, 'q'));
+    const std::string first = w.send();
+    for (int i = 0; i < 3; ++i)
+        CHECK(w.chosen(start + 1s) == first);
+
+    SECTION("until its cache is dropped")
+    {
+        on_cache_events(w.state, {{first}, 1, {}, {}, true});
+        std::set<std::string> seen;
+        for (int i = 0; i < 32; ++i)
+        {
+            w.request.draw += 0x9e3779b97f4a7c14ULL;
+            seen.insert(w.chosen(start + 1s));
+        }
+        CHECK(seen.size() == 2);
+    }
+}
+
+TEST_CASE("an upstream that fails is ejected, probed and readmitted")
+{
+    world w;
+    w.add("a", "suva", 1);
+    w.add("b", "suva", 2);
+    w.add("c", "suva", 2);
+    attempt_observed seen;
+    seen.target = {"a"};
+    seen.failure = attempt_failure::broken;
+    for (int i = 0; i < 3; ++i)
+        on_observed(w.state, seen, start);
+    CHECK(w.chosen() != "a");
+
+    SECTION("after a while one request in some probes it")
+    {
+        for (const char* id : {"a", "b", "c"})
+            announce(w.dir, find(w.dir, {id})->value, start + 6s);
+        w.request.draw = 7;
+        CHECK(w.chosen(start + 6s) == "a");
+        w.request.draw = 8;
+        CHECK(w.chosen(start + 6s) != "a");
+        SECTION("and good probes bring it back")
+        {
+            seen.failure.reset();
+            for (int i = 0; i < 3; ++i)
+                on_observed(w.state, seen, start + 6s);
+            w.request.draw = 8;
+            CHECK(w.chosen(start + 6s) == "a");
+        }
+    }
+    SECTION("but not when too many would be ejected")
+    {
+        seen.target = {"b"};
+        for (int i = 0; i < 3; ++i)
+            on_observed(w.state, seen, start);
+        CHECK(w.chosen() == "a");
+    }
+}
