--- /dev/null
+++ b/src/daemon/admin_duty.cpp
@@ -0,0 +1,295 @@
+#include "daemon/admin_duty.hpp"
+
+#include "observe/event_json.hpp"
+#include "observe/hybrid_clock.hpp"
+
+#include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
+
+#include <charconv>
+#include <unordered_map>
+
+namespace bergamotusher
+{
+
+namespace
+{
+
+constexpr std::string_view bearer = "Bearer ";
+constexpr std::string_view upstreams_path = "/v1/upstreams";
+constexpr std::string_view events_suffix = "/events";
+constexpr std::size_t most_events = 10'000;
+
+using exchange_ptr = std::shared_ptr<http_exchange>;
+
+} // namespace
+
+struct admin_duty::state_data
+{
+    state_data(
+        mailbox<upstream_message>& to_serving,
+        mailbox<operator_task>& to_control,
+        admin_options o)
+        : options(std::move(o)), serving(to_serving), control(to_control)
+    {
+    }
+
+    admin_options options;
+    mailbox<upstream_message>& serving;
+    mailbox<operator_task>& control;
+    admin_counters counters;
+    std::unordered_map<std::uint64_t, exchange_ptr> waiting;
+    std::uint64_t next_ticket = 1;
+    std::unique_ptr<http_server> server;
+};
+
+namespace
+{
+
+using duty_state = admin_duty::state_data;
+
+bool token_matches(const http_request& request, const std::string& token)
+{
+    const std::string field = request.header("authorization");
+    const std::string wanted = std::string(bearer) + token;
+    return !token.empty() && field.size() == wanted.size() &&
+        CRYPTO_memcmp(field.data(), wanted.data(), wanted.size()) == 0;
+}
+
+void answer_json(http_exchange& exchange, int status, const std::string& body)
+{
+    exchange.answer(status, {{"Content-Type", "application/json"}}, body);
+}
+
+// Hands what an upstream said to the serving duty.
+void pass_on(
+    duty_state& duty,
+    http_exchange& exchange,
+    upstream_message message,
+    int status)
+{
+    if (!duty.serving.push(std::move(message)))
+        return answer_problem(exchange, {error_kind::overloaded, ""});
+    answer_json(exchange, status, "{}");
+}
+
+void refuse_bad(duty_state& duty, http_exchange& exchange, const failure& why)
+{
+    ++duty.counters.bad_announcements;
+    answer_problem(exchange, why);
+}
+
+void take_announcement(
+    duty_state& duty, const http_request& request, http_exchange& exchange)
+{
+    auto parsed = membership::parse_announcement(request.body);
+    if (const auto* wrong = std::get_if<failure>(&parsed))
+        return refuse_bad(duty, exchange, *wrong);
+    ++duty.counters.announcements;
+    pass_on(duty, exchange, std::get<upstream>(std::move(parsed)), 200);
+}
+
+void take_events(
+    duty_state& duty,
+    const http_request& request,
+    const upstream_id& id,
+    http_exchange& exchange)
+{
+    auto parsed = membership::parse_events(id, request.body);
+    if (const auto* wrong = std::get_if<failure>(&parsed))
+        return refuse_bad(duty, exchange, *wrong);
+    pass_on(
+        duty,
+        exchange,
+        std::get<membership::upstream_events>(std::move(parsed)),
+        200);
+}
+
+void refuse_token(duty_state& duty, http_exchange& exchange)
+{
+    ++duty.counters.unauthenticated;
+    answer_problem(
+        exchange,
+        {error_kind::unauthenticated, ""},
+        run_claim::not_run,
+        {{"WWW-Authenticate", "Bearer"}});
+}
+
+void handle_upstream(
+    duty_state& duty, const http_request& request, http_exchange& exchange)
+{
+    if (!token_matches(request, duty.options.upstream_token))
+        return refuse_token(duty, exchange);
+    std::string rest = request.path().substr(upstreams_path.size());
+    if (rest.empty() && request.method == "POST")
+        return take_announcement(duty, request, exchange);
+    if (rest.size() < 2 || rest.front() != '/')
+        return answer_problem(exchange, {error_kind::unknown_resource, rest});
+    rest.erase(0, 1);
+    if (request.method == "DELETE")
+        return pass_on(duty, exchange, upstream_left{{rest}}, 200);
+    const std::size_t end = rest.size() - std::min(rest.size(), events_suffix.size());
+    if (request.method == "POST" && rest.substr(end) == events_suffix)
+        return take_events(duty, request, {rest.substr(0, end)}, exchange);
+    answer_problem(exchange, {error_kind::method_not_allowed, ""});
+}
+
+std::variant<observe::timeline_query, failure>
+parse_query(const http_request& request)
+{
+    observe::timeline_query query;
+    query.request.value = request.query("request");
+    query.move.value = request.query("move");
+    query.target.value = request.query("upstream");
+    if (const std::string since = request.query("since"); !since.empty())
+    {
+        query.since = observe::parse_hybrid_time(since);
+        if (!query.since)
+            return failure{
+                error_kind::malformed_request, "since is no hybrid time"};
+    }
+    if (const std::string limit = request.query("limit"); !limit.empty())
+    {
+        const char* end = limit.data() + limit.size();
+        const auto parsed =
+            std::from_chars(limit.data(), end, query.limit);
+        if (parsed.ec != std::errc{} || parsed.ptr != end ||
+            query.limit > most_events)
+            return failure{
+                error_kind::malformed_request,
+                "limit is no number up to 10000"};
+    }
+    return query;
+}
+
+void answer_timeline(
+    duty_state& duty, const http_request& request, http_exchange& exchange)
+{
+    const auto query = parse_query(request);
+    if (const auto* wrong = std::get_if<failure>(&query))
+        return answer_problem(exchange, *wrong);
+    nlohmann::json list = nlohmann::json::array();
+    for (const event& one :
+         duty.options.timeline(std::get<observe::timeline_query>(query)))
+        list.push_back(observe::encode_event(one));
+    answer_json(
+        exchange,
+        200,
+        nlohmann::json{{"events", list}}.dump(
+            -1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+// Reads that need no agreement; false if the path is none of them.
+bool answer_read(
+    duty_state& duty, const http_request& request, http_exchange& exchange)
+{
+    if (request.method != "GET")
+        return false;
+    const std::string path = request.path();
+    if (path == "/v1/status")
+        answer_json(exchange, 200, duty.options.status());
+    else if (path == upstreams_path)
+        answer_json(exchange, 200, duty.options.upstreams());
+    else if (path == "/v1/timeline")
+        answer_timeline(duty, request, exchange);
+    else if (path == "/metrics")
+        exchange.answer(
+            200,
+            {{"Content-Type", "text/plain; version=0.0.4"}},
+            duty.options.metrics());
+    else
+        return false;
+    return true;
+}
+
+void ask_control(
+    duty_state& duty, http_request&& request, const exchange_ptr& exchange)
+{
+    operator_task task{
+        duty.next_ticket++,
+        {request.method,
+         request.path(),
+         request.header("if-match"),
+         request.header("idempotency-key"),
+         std::move(request.body)}};
+    const std::uint64_t ticket = task.ticket;
+    if (!duty.control.push(std::move(task)))
+        return answer_problem(*exchange, {error_kind::overloaded, ""});
+    duty.waiting[ticket] = exchange;
+}
+
+void handle(
+    duty_state& duty, http_request&& request, const exchange_ptr& exchange)
+{
+    const std::string path = request.path();
+    if (path == "/healthz")
+        return answer_json(*exchange, 200, R"({"healthy":true})");
+    if (path == "/readyz")
+        return answer_json(
+            *exchange,
+            duty.options.ready() ? 200 : 503,
+            duty.options.ready() ? R"({"ready":true})" : R"({"ready":false})");
+    const bool from_upstream =
+        path.rfind(upstreams_path, 0) == 0 && request.method != "GET";
+    if (from_upstream)
+        return handle_upstream(duty, request, *exchange);
+    if (!token_matches(request, duty.options.operator_token))
+        return refuse_token(duty, *exchange);
+    if (answer_read(duty, request, *exchange))
+        return;
+    if (path.rfind("/v1/config", 0) == 0 || path.rfind("/v1/moves", 0) == 0)
+        return ask_control(duty, std::move(request), exchange);
+    answer_problem(*exchange, {error_kind::unknown_resource, path});
+}
+
+} // namespace
+
+admin_duty::admin_duty(
+    boost::asio::io_context& loop,
+    mailbox<upstream_message>& serving,
+    mailbox<operator_task>& control,
+    admin_options options)
+    : state_(
+          std::make_shared<state_data>(serving, control, std::move(options)))
+{
+    state_->server = std::make_unique<http_server>(
+        loop,
+        state_->options.address,
+        state_->options.limits,
+        [duty = std::weak_ptr<state_data>(state_)](
+            http_request&& request, exchange_ptr exchange)
+        {
+            if (const auto self = duty.lock())
+                handle(*self, std::move(request), exchange);
+        });
+}
+
+admin_duty::~admin_duty() = default;
+
+void admin_duty::take(operator_reply&& reply)
+{
+    const auto found = state_->waiting.find(reply.ticket);
+    if (found == state_->waiting.end())
+        return;
+    const exchange_ptr exchange = found->second;
+    state_->waiting.erase(found);
+    http_fields fields{
+        {"Content-Type",
+         reply.answer.status < 400 ? "application/json"
+                                   : "application/problem+json"}};
+    if (reply.answer.revision > 0)
+        fields.emplace_back("ETag", std::to_string(reply.answer.revision));
+    exchange->answer(reply.answer.status, fields, reply.answer.body);
+}
+
+const http_counters& admin_duty::http() const
+{
+    return state_->server->counters();
+}
+
+const admin_counters& admin_duty::counters() const
+{
+    return state_->counters;
+}
+
+} // namespace bergamotusher
--- /dev/null
+++ b/src/daemon/upstream_view.cpp
@@ -0,0 +1,221 @@
+#include "daemon/upstream_view.hpp"
+
+#include "routing/choose.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace bergamotusher
+{
+
+namespace
+{
+
+event event_of(event_kind kind, const upstream_id& id, std::string detail = "")
+{
+    event result;
+    result.kind = kind;
+    result.target = id;
+    result.detail = std::move(detail);
+    return result;
+}
+
+// Tells the rest of the entry what an upstream has become.
+void report(upstream_view& view, const upstream_id& id, view_changes& changes)
+{
+    const auto* entry = membership::find(view.directory, id);
+    if (entry == nullptr)
+        return;
+    const upstream& value = entry->value;
+    if (value.state == upstream_state::leaving)
+    {
+        changes.inputs.push_back(upstream_leaves{
+            id, entry->reclaim_at.value_or(time_point::max())});
+        changes.events.push_back(event_of(event_kind::upstream_leaving, id));
+        return;
+    }
+    if (value.state == upstream_state::lost)
+        return;
+    routing::on_announced(view.routing, value);
+    changes.events.push_back(event_of(
+        event_kind::upstream_announced,
+        id,
+        value.service.value + " " + value.version.value + " in " +
+            value.domain.value));
+}
+
+void take_announced(
+    upstream_view& view,
+    const upstream& value,
+    view_changes& changes,
+    time_point now)
+{
+    using outcome = membership::announce_outcome;
+    const outcome what = membership::announce(view.directory, value, now);
+    if (what == outcome::joined || what == outcome::changed)
+        report(view, value.id, changes);
+}
+
+void take_left(
+    upstream_view& view, const upstream_id& id, view_changes& changes)
+{
+    if (membership::leave(view.directory, id))
+        report(view, id, changes);
+}
+
+void take_events(
+    upstream_view& view,
+    const membership::upstream_events& events,
+    time_point now)
+{
+    if (events.load)
+    {
+        routing::on_load(view.routing, *events.load, now);
+        membership::relay(view.directory, *events.load);
+    }
+    if (events.cache)
+    {
+        routing::on_cache_events(view.routing, *events.cache);
+        membership::relay(view.directory, *events.cache);
+    }
+}
+
+nlohmann::json upstream_json(
+    const membership::directory_entry& entry, time_point now)
+{
+    const upstream& value = entry.value;
+    return {
+        {"instance", value.id.value},
+        {"incarnation", value.incarnation},
+        {"kind", to_name(value.kind)},
+        {"service", value.service.value},
+        {"version", value.version.value},
+        {"address", value.address},
+        {"failure_domain", value.domain.value},
+        {"instance_class", value.instance_class},
+        {"market", to_name(value.paid_as)},
+        {"price_per_hour", value.price_per_hour},
+        {"slots", value.slots},
+        {"state", to_name(membership::state_of(entry, now))}};
+}
+
+} // namespace
+
+view_changes
+take(upstream_view& view, const upstream_message& message, time_point now)
+{
+    view_changes changes;
+    if (const auto* value = std::get_if<upstream>(&message))
+        take_announced(view, *value, changes, now);
+    else if (const auto* left = std::get_if<upstream_left>(&message))
+        take_left(view, left->id, changes);
+    else
+        take_events(
+            view, std::get<membership::upstream_events>(message), now);
+    return changes;
+}
+
+view_changes take_delta(
+    upstream_view& view,
+    const membership::directory_delta& delta,
+    const node_id& self,
+    std::uint64_t incarnation,
+    std::optional<membership::directory_delta>& answer,
+    time_point now)
+{
+    view_changes changes;
+    auto merged =
+        membership::merge(view.directory, delta, self, incarnation, now);
+    for (const upstream_id& id : merged.changed)
+        report(view, id, changes);
+    for (const load_report& load : merged.loads)
+        routing::on_load(view.routing, load, now);
+    for (const cache_events& cache : merged.caches)
+        routing::on_cache_events(view.routing, cache);
+    answer = std::move(merged.answer);
+    return changes;
+}
+
+view_changes take_notice(
+    upstream_view& view,
+    const upstream_id& instance,
+    const failure_domain& domain,
+    time_point deadline)
+{
+    view_changes changes;
+    std::vector<upstream_id> leaving;
+    if (instance.empty())
+        leaving = membership::notice(view.directory, domain, deadline);
+    else
+    {
+        membership::notice(view.directory, instance, deadline);
+        leaving.push_back(instance);
+    }
+    for (const upstream_id& id : leaving)
+        report(view, id, changes);
+    return changes;
+}
+
+view_changes expire(upstream_view& view, time_point now)
+{
+    view_changes changes;
+    for (const upstream_id& id : membership::expire(view.directory, now))
+    {
+        const auto* entry = membership::find(view.directory, id);
+        const bool domain_lost = entry != nullptr &&
+            membership::domain_gone(
+                view.directory, entry->value.domain, now);
+        routing::on_lost(view.routing, id);
+        changes.inputs.push_back(upstream_gone{id, domain_lost});
+        changes.events.push_back(event_of(event_kind::upstream_lost, id));
+    }
+    return changes;
+}
+
+choice_result
+choose(upstream_view& view, const choice_request& request, time_point now)
+{
+    auto result =
+        routing::choose_upstream(view.directory, view.routing, request, now);
+    if (const auto* made = std::get_if<choice>(&result))
+        view.chosen[made->id] = {request, *made};
+    return result;
+}
+
+void note(upstream_view& view, const dispatch& sent, time_point now)
+{
+    view.dispatched[sent.attempt] = sent.target;
+    const auto found = view.chosen.find(sent.target);
+    if (found == view.chosen.end())
+        return;
+    const auto& [request, made] = found->second;
+    routing::on_dispatch(view.routing, request, made, now);
+}
+
+void note(upstream_view& view, const attempt_observed& seen, time_point now)
+{
+    routing::on_observed(view.routing, seen, now);
+}
+
+void note(upstream_view& view, const cancel_attempt& gone, time_point now)
+{
+    const auto found = view.dispatched.find(gone.attempt);
+    if (found == view.dispatched.end())
+        return;
+    routing::on_ended(view.routing, found->second, now);
+    view.dispatched.erase(found);
+}
+
+void forget(upstream_view& view, const attempt_id& attempt)
+{
+    view.dispatched.erase(attempt);
+}
+
+std::string upstreams_json(const upstream_view& view, time_point now)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& [id, entry] : view.directory.entries)
+        list.push_back(upstream_json(entry, now));
+    return nlohmann::json{{"upstreams", list}}.dump();
+}
+
+} // namespace bergamotusher
