--- a/include/bergamotusher/serving.hpp
+++ b/include/bergamotusher/serving.hpp
@@ -110,6 +110,9 @@
     std::uint32_t prompt_tokens = 0;
     std::uint32_t cached_tokens = 0;
     std::uint32_t answered_tokens = 0;
+    /// Pieces that the connection gave out, if it counts them; an answer
+    /// of which fewer or more were seen is malformed.
+    std::optional<std::uint64_t> pieces;
 };
 
 /// How an attempt failed.
@@ -158,6 +161,7 @@
 {
     std::string fingerprint;
     upstream_id target;
+    failure_domain domain;
 };
 
 /// This entry shuts down; `deadline` is when its instance goes, if known.
@@ -276,7 +280,8 @@
     std::string text;
 };
 
-/// The answer is whole. `body` holds it where it was not streamed.
+/// The answer is whole. `body` holds it where it was not streamed; for an
+/// engine this is the text alone.
 struct answer_end
 {
     request_id connection;
@@ -312,11 +317,20 @@
     request_handed_over state;
 };
 
+/// Tell the entry that handed a request over whether this one has it.
+struct hand_over_reply
+{
+    node_id to;
+    request_id request;
+    bool taken = false;
+};
+
 /// Tell every entry that an upstream died while it ran `fingerprint`.
 struct report_crash
 {
     std::string fingerprint;
     upstream_id target;
+    failure_domain domain;
 };
 
 /// What an attempt showed of its upstream; for routing, health and moves.
@@ -355,6 +369,7 @@
     answer_error,
     answer_moved,
     hand_over,
+    hand_over_reply,
     report_crash,
     attempt_observed,
     record_event,
