--- a/src/daemon/callers_duty.cpp
+++ b/src/daemon/callers_duty.cpp
@@ -20,6 +20,7 @@
 constexpr std::string_view services_path = "/v1/services/";
 constexpr std::string_view requests_path = "/v1/requests/";
 constexpr std::size_t max_key_length = 255;
+constexpr int success = 200;
 
 // A caller's connection that waits for its answer.
 struct connection
@@ -325,6 +326,16 @@
             end.answered_tokens));
         return to.exchange->end();
     }
+    if (to.kind == upstream_kind::engine && to.status == success)
+    {
+        to.content_type = "application/json";
+        end.body = engine::to_caller_answer(
+            to.request.value,
+            end.body,
+            end.finish_reason,
+            end.prompt_tokens,
+            end.answered_tokens);
+    }
     to.exchange->answer(to.status, head_fields(to), std::move(end.body));
 }
 
--- a/src/daemon/upstreams_duty.cpp
+++ b/src/daemon/upstreams_duty.cpp
@@ -305,6 +305,8 @@
         end.prompt_tokens = events_.last.prompt_tokens;
         end.cached_tokens = events_.last.cached_tokens;
         end.answered_tokens = events_.last.answered_tokens;
+        if (streaming_)
+            end.pieces = next_token_;
         duty_->out.send(std::move(end));
         keep_connection();
         forget();
