--- a/src/membership/directory.hpp
+++ b/src/membership/directory.hpp
@@ -22,6 +22,8 @@
 
 /// How often an upstream should renew its announcement.
 inline constexpr duration renewal_interval = 500ms;
+/// How often an entry should send its delta to the other entries.
+inline constexpr duration delta_interval = 250ms;
 /// An upstream that has not renewed for this long gets no new work.
 inline constexpr duration upstream_lease = 1500ms;
 /// How long a record is remembered after its upstream fell silent.
