--- a/src/routing/routing_state.hpp
+++ b/src/routing/routing_state.hpp
@@ -58,7 +58,7 @@
     std::unordered_map<upstream_id, upstream_estimate> upstreams;
     /// By instance class: what a new upstream starts from.
     std::unordered_map<std::string, speed_estimate> classes;
-    /// Upstreams used of a service that has more than `subset_size`.
+    /// Upstreams used of a large service; see subset.hpp.
     std::unordered_map<service_name, std::vector<upstream_id>> subsets;
 };
 
--- a/tests/routing/choose_test.cpp
+++ b/tests/routing/choose_test.cpp
@@ -1,5 +1,6 @@
 // The cheapest upstream that meets the target is chosen.
 #include "routing/choose.hpp"
+#include "routing/subset.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -208,3 +209,33 @@
         CHECK(w.chosen() == "a");
     }
 }
+
+TEST_CASE("an entry uses a part of a large service's upstreams")
+{
+    world w;
+    const std::vector<std::string> domains = {"suva", "nadi", "lautoka"};
+    for (int i = 0; i < 5'000; ++i)
+        w.add("w" + std::to_string(i), domains[i % 3], 1);
+    const auto mine = subset_of(w.dir, {"llm"}, {"n1"});
+    CHECK(mine.size() <= subset_size + domains.size());
+    std::map<std::string, int> count;
+    for (const upstream_id& id : mine)
+        ++count[find(w.dir, id)->value.domain.value];
+    for (const std::string& domain : domains)
+        CHECK(count[domain] >= 16);
+
+    SECTION("which changes little when one leaves")
+    {
+        leave(w.dir, mine.front());
+        const auto after = subset_of(w.dir, {"llm"}, {"n1"});
+        std::set<upstream_id> same(mine.begin(), mine.end());
+        int fresh = 0;
+        for (const upstream_id& id : after)
+            fresh += same.count(id) == 0 ? 1 : 0;
+        CHECK(fresh <= 1);
+    }
+    SECTION("and another entry has another part")
+    {
+        CHECK(subset_of(w.dir, {"llm"}, {"n2"}) != mine);
+    }
+}
