--- a/src/daemon/admin_duty.cpp
+++ b/src/daemon/admin_duty.cpp
@@ -53,7 +53,7 @@
     const std::string field = request.header("authorization");
     const std::string wanted = std::string(bearer) + token;
     return !token.empty() && field.size() == wanted.size() &&
-        CRYPTO_memcmp(field.data(), wanted.data(), wanted.size()) == 0;
+           CRYPTO_memcmp(field.data(), wanted.data(), wanted.size()) == 0;
 }
 
 void answer_json(http_exchange& exchange, int status, const std::string& body)
@@ -128,7 +128,8 @@
     rest.erase(0, 1);
     if (request.method == "DELETE")
         return pass_on(duty, exchange, upstream_left{{rest}}, 200);
-    const std::size_t end = rest.size() - std::min(rest.size(), events_suffix.size());
+    const std::size_t end =
+        rest.size() - std::min(rest.size(), events_suffix.size());
     if (request.method == "POST" && rest.substr(end) == events_suffix)
         return take_events(duty, request, {rest.substr(0, end)}, exchange);
     answer_problem(exchange, {error_kind::method_not_allowed, ""});
@@ -151,8 +152,7 @@
     if (const std::string limit = request.query("limit"); !limit.empty())
     {
         const char* end = limit.data() + limit.size();
-        const auto parsed =
-            std::from_chars(limit.data(), end, query.limit);
+        const auto parsed = std::from_chars(limit.data(), end, query.limit);
         if (parsed.ec != std::errc{} || parsed.ptr != end ||
             query.limit > most_events)
             return failure{
@@ -249,8 +249,7 @@
     mailbox<upstream_message>& serving,
     mailbox<operator_task>& control,
     admin_options options)
-    : state_(
-          std::make_shared<state_data>(serving, control, std::move(options)))
+    : state_(std::make_shared<state_data>(serving, control, std::move(options)))
 {
     state_->server = std::make_unique<http_server>(
         loop,
--- a/src/daemon/journal_port.cpp
+++ b/src/daemon/journal_port.cpp
@@ -20,8 +20,7 @@
     return result;
 }
 
-journal_news
-begin_news(const journal_wait& wait, const proposal_answer& answer)
+journal_news begin_news(const journal_wait& wait, const proposal_answer& answer)
 {
     journal_answered input{wait.request, wait.attempt, std::nullopt, false};
     journal_news news;
@@ -77,11 +76,7 @@
     time_point now)
 {
     const state::finish_request command{
-        action.key,
-        port.node,
-        port.incarnation,
-        action.attempt,
-        action.answer};
+        action.key, port.node, port.incarnation, action.attempt, action.answer};
     return make_proposal(
         port,
         {{},
--- a/src/daemon/serving_duty.cpp
+++ b/src/daemon/serving_duty.cpp
@@ -103,7 +103,10 @@
         [&duty](const choice_request& request, time_point at)
         { return choose(duty.view, request, at); },
         wall_now(),
-        [](std::string_view body) { return routing::prefix_blocks(body); }};
+        [](std::string_view body)
+        {
+            return routing::prefix_blocks(body);
+        }};
     for (serving_action& action :
          serving::step(duty.requests, input, context, now()))
         carry_out(duty, std::move(action));
@@ -234,8 +237,7 @@
         duty.refuse_from.reset();
         feed(
             duty,
-            drain_started{
-                duty.instance_ends, successors(duty.entries, at)});
+            drain_started{duty.instance_ends, successors(duty.entries, at)});
     }
     feed(duty, tick{});
 }
@@ -297,8 +299,7 @@
 
 void serving_duty::take(upstream_message&& message)
 {
-    take_changes(
-        *state_, bergamotusher::take(state_->view, message, now()));
+    take_changes(*state_, bergamotusher::take(state_->view, message, now()));
 }
 
 void serving_duty::take(control_news&& news)
@@ -336,10 +337,7 @@
     take_changes(
         *state_,
         take_notice(
-            state_->view,
-            {notice.instance},
-            notice.domain,
-            notice.deadline));
+            state_->view, {notice.instance}, notice.domain, notice.deadline));
 }
 
 void serving_duty::drain(std::optional<time_point> deadline)
--- a/src/daemon/state_host.cpp
+++ b/src/daemon/state_host.cpp
@@ -23,9 +23,9 @@
     const auto* answer = std::get_if<state::operator_answer>(&decision);
     host.links.reply(
         {task.ticket,
-         answer != nullptr ? *answer
-                           : state::answer_to(failure{
-                                 error_kind::method_not_allowed, ""})});
+         answer != nullptr
+             ? *answer
+             : state::answer_to(failure{error_kind::method_not_allowed, ""})});
 }
 
 void answer_due_reads(state_host& host)
@@ -49,8 +49,8 @@
     const std::uint64_t ticket = first_host_ticket + host.next_ticket++;
     // A read commits an empty batch: when that is applied here, so is
     // everything that was committed before the read began.
-    const std::string encoded = command ? state::encode(*command, wall)
-                                        : state::encode_batch({}, wall);
+    const std::string encoded =
+        command ? state::encode(*command, wall) : state::encode_batch({}, wall);
     host.waiting[ticket] = {std::move(task), std::move(command)};
     host.links.propose({ticket, encoded, now + operator_limit});
 }
--- a/src/daemon/state_host.hpp
+++ b/src/daemon/state_host.hpp
@@ -60,8 +60,7 @@
 std::error_code restore(state_host& host, std::string_view snapshot);
 
 /// Takes an operator's request.
-void take(
-    state_host& host, operator_task task, wall_time wall, time_point now);
+void take(state_host& host, operator_task task, wall_time wall, time_point now);
 
 /// Takes the answer to one of the host's proposals.
 void take(state_host& host, const proposal_answer& answer);
--- a/src/daemon/upstream_view.cpp
+++ b/src/daemon/upstream_view.cpp
@@ -28,8 +28,8 @@
     const upstream& value = entry->value;
     if (value.state == upstream_state::leaving)
     {
-        changes.inputs.push_back(upstream_leaves{
-            id, entry->reclaim_at.value_or(time_point::max())});
+        changes.inputs.push_back(
+            upstream_leaves{id, entry->reclaim_at.value_or(time_point::max())});
         changes.events.push_back(event_of(event_kind::upstream_leaving, id));
         return;
     }
@@ -79,8 +79,8 @@
     }
 }
 
-nlohmann::json upstream_json(
-    const membership::directory_entry& entry, time_point now)
+nlohmann::json
+upstream_json(const membership::directory_entry& entry, time_point now)
 {
     const upstream& value = entry.value;
     return {
@@ -109,8 +109,7 @@
     else if (const auto* left = std::get_if<upstream_left>(&message))
         take_left(view, left->id, changes);
     else
-        take_events(
-            view, std::get<membership::upstream_events>(message), now);
+        take_events(view, std::get<membership::upstream_events>(message), now);
     return changes;
 }
 
@@ -161,9 +160,9 @@
     for (const upstream_id& id : membership::expire(view.directory, now))
     {
         const auto* entry = membership::find(view.directory, id);
-        const bool domain_lost = entry != nullptr &&
-            membership::domain_gone(
-                view.directory, entry->value.domain, now);
+        const bool domain_lost =
+            entry != nullptr &&
+            membership::domain_gone(view.directory, entry->value.domain, now);
         routing::on_lost(view.routing, id);
         changes.inputs.push_back(upstream_gone{id, domain_lost});
         changes.events.push_back(event_of(event_kind::upstream_lost, id));
