--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -176,7 +176,8 @@
     control_to_serving.push(configuration_lease{time_point::max()});
 }
 
-daemon_process::daemon_process(const settings& values) : parts_(std::make_unique<parts>(values))
+daemon_process::daemon_process(const settings& values)
+    : parts_(std::make_unique<parts>(values))
 {
     parts& p = *parts_;
     observe::start_logging(
--- /dev/null
+++ b/tests/process/child.cpp
@@ -0,0 +1,106 @@
+#include "process/child.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <fcntl.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <utility>
+
+extern char** environ;
+
+namespace bergamotusher::tests
+{
+
+namespace
+{
+
+constexpr auto poll_pause = std::chrono::milliseconds(5);
+
+} // namespace
+
+child::child(
+    const std::string& program,
+    const std::vector<std::string>& arguments,
+    const std::string& log)
+{
+    std::vector<std::string> all{program};
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    std::vector<char*> argv;
+    for (std::string& one : all)
+        argv.push_back(one.data());
+    argv.push_back(nullptr);
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(
+        &files, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&files, 1, 2);
+    const int error = posix_spawn(
+        &id_, program.c_str(), &files, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&files);
+    if (error != 0)
+        throw std::runtime_error("cannot start " + program);
+}
+
+child::~child()
+{
+    kill();
+}
+
+child::child(child&& other) noexcept
+    : id_(std::exchange(other.id_, -1)), status_(other.status_)
+{
+}
+
+child& child::operator=(child&& other) noexcept
+{
+    if (this != &other)
+    {
+        kill();
+        id_ = std::exchange(other.id_, -1);
+        status_ = other.status_;
+    }
+    return *this;
+}
+
+void child::send(int signal)
+{
+    if (running())
+        ::kill(id_, signal);
+}
+
+void child::kill()
+{
+    if (!running())
+        return;
+    ::kill(id_, SIGKILL);
+    waitpid(id_, &status_, 0);
+    id_ = -1;
+}
+
+bool child::running()
+{
+    if (id_ < 0)
+        return false;
+    if (waitpid(id_, &status_, WNOHANG) != id_)
+        return true;
+    id_ = -1;
+    return false;
+}
+
+int child::wait(double seconds)
+{
+    const auto end = std::chrono::steady_clock::now() +
+                     std::chrono::duration<double>(seconds);
+    while (running())
+    {
+        if (std::chrono::steady_clock::now() > end)
+            return -1;
+        std::this_thread::sleep_for(poll_pause);
+    }
+    return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
+}
+
+} // namespace bergamotusher::tests
--- /dev/null
+++ b/tests/process/cluster.cpp
@@ -0,0 +1,329 @@
+#include "process/cluster.hpp"
+
+#include "base/digest.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+#include <unistd.h>
+
+namespace bergamotusher::tests
+{
+
+namespace fs = std::filesystem;
+using nlohmann::json;
+
+namespace
+{
+
+constexpr unsigned entry_port = 8080;
+constexpr unsigned admin_port = 9080;
+constexpr unsigned peer_port = 7080;
+constexpr unsigned upstream_port = 8100;
+constexpr unsigned cloud_port = 8300;
+constexpr auto poll_pause = std::chrono::milliseconds(20);
+const std::string operator_token = "operator-token";
+const std::string upstream_token = "upstream-token";
+
+std::string program(const char* name)
+{
+    return std::string(BERGAMOTUSHER_BIN) + "/" + name;
+}
+
+std::string domain_of(unsigned index)
+{
+    static const std::vector<std::string> names{"suva", "nadi", "lautoka"};
+    return names[index % names.size()];
+}
+
+std::string node_name(unsigned index)
+{
+    return "node-" + std::to_string(index + 1);
+}
+
+std::string account_text(const std::string& key)
+{
+    return json{{"key_digest", sha256_hex(key)}}.dump();
+}
+
+unsigned next_number()
+{
+    static unsigned number = 0;
+    return ++number;
+}
+
+} // namespace
+
+const std::string cluster::key = "caller-key";
+const std::string cluster::other_key = "other-caller-key";
+
+cluster::cluster(unsigned nodes) : nodes_(nodes), number_(next_number())
+{
+    folder_ = (fs::temp_directory_path() /
+               ("bergamotusher-test-" + std::to_string(::getpid()) + "-" +
+                std::to_string(number_)))
+                  .string();
+    fs::remove_all(folder_);
+    fs::create_directories(folder_);
+    std::ofstream(folder_ + "/operator") << operator_token << "\n";
+    std::ofstream(folder_ + "/upstream") << upstream_token << "\n";
+    cloud_.emplace_back(
+        program("fake_cloud"),
+        std::vector<std::string>{"--address=" + address(99, cloud_port)},
+        folder_ + "/cloud.log");
+    for (unsigned i = 0; i < nodes_; ++i)
+        start_node(i);
+    configure();
+}
+
+cluster::~cluster()
+{
+    upstreams_.clear();
+    daemons_.clear();
+    cloud_.clear();
+    std::error_code ignored;
+    if (std::getenv("BERGAMOTUSHER_KEEP_LOGS") == nullptr)
+        fs::remove_all(folder_, ignored);
+}
+
+// Each process of a cluster has an address of its own; the test program's id
+// and the cluster's number keep clusters apart.
+std::string cluster::address(unsigned index, unsigned port) const
+{
+    const unsigned id = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(1 + id % 250) + "." +
+           std::to_string((id / 250 + number_) % 250) + "." +
+           std::to_string(index + 1) + ":" + std::to_string(port);
+}
+
+std::string cluster::entry(unsigned index) const
+{
+    return address(index, entry_port);
+}
+
+std::string cluster::admin(unsigned index) const
+{
+    return address(index, admin_port);
+}
+
+std::vector<std::string> cluster::entries(unsigned first) const
+{
+    std::vector<std::string> result;
+    for (unsigned i = 0; i < nodes_; ++i)
+        result.push_back(entry((first + i) % nodes_));
+    return result;
+}
+
+std::string cluster::peers_flag() const
+{
+    std::string text;
+    for (unsigned i = 0; i < nodes_; ++i)
+        text += (i == 0 ? "" : ",") + node_name(i) + "=" +
+                address(i, peer_port) + "/" + std::to_string(entry_port) + "/" +
+                std::to_string(admin_port) + "@" + domain_of(i);
+    return text;
+}
+
+std::string cluster::admins_flag() const
+{
+    std::string text;
+    for (unsigned i = 0; i < nodes_; ++i)
+        text += (i == 0 ? "" : ",") + admin(i);
+    return text;
+}
+
+void cluster::start_node(unsigned index)
+{
+    const std::string name = node_name(index);
+    child process(
+        program("bergamotusherd"),
+        {"--node-id=" + name,
+         "--failure-domain=" + domain_of(index),
+         "--entry-address=" + entry(index),
+         "--admin-address=" + admin(index),
+         "--peer-address=" + address(index, peer_port),
+         "--peers=" + peers_flag(),
+         "--data-dir=" + folder_ + "/" + name,
+         "--cloud-url=" + address(99, cloud_port),
+         "--admin-token-file=" + folder_ + "/operator",
+         "--upstream-token-file=" + folder_ + "/upstream"},
+        folder_ + "/" + name + ".log");
+    if (index < daemons_.size())
+        daemons_[index] = std::move(process);
+    else
+        daemons_.push_back(std::move(process));
+}
+
+child& cluster::node(unsigned index)
+{
+    return daemons_.at(index);
+}
+
+child& cluster::start_upstream(
+    const std::string& name_of_program,
+    const std::string& name,
+    std::vector<std::string> flags)
+{
+    const std::string where = address(100 + next_upstream_++, upstream_port);
+    std::vector<std::string> all{
+        "--id=" + name,
+        "--address=" + where,
+        "--admins=" + admins_flag(),
+        "--token-file=" + folder_ + "/upstream"};
+    all.insert(all.end(), flags.begin(), flags.end());
+    upstreams_.erase(name);
+    upstreams_.emplace(
+        name,
+        child(
+            program(name_of_program.c_str()),
+            all,
+            folder_ + "/" + name + ".log"));
+    const auto known = [&](unsigned index)
+    {
+        const auto answer = operate(index, "GET", "/v1/upstreams");
+        return answer.body.find("\"address\":\"" + where + "\"") !=
+               std::string::npos;
+    };
+    for (unsigned i = 0; i < nodes_; ++i)
+        if (daemons_[i].running() && !wait_until([&] { return known(i); }))
+            throw std::runtime_error(name + " is not known at every entry");
+    return upstreams_.at(name);
+}
+
+child&
+cluster::start_engine(const std::string& name, std::vector<std::string> flags)
+{
+    return start_upstream("fake_engine", name, std::move(flags));
+}
+
+child&
+cluster::start_desk(const std::string& name, std::vector<std::string> flags)
+{
+    flags.push_back("--orders=" + folder_ + "/orders");
+    return start_upstream("fake_desk", name, std::move(flags));
+}
+
+child& cluster::upstream(const std::string& name)
+{
+    return upstreams_.at(name);
+}
+
+void cluster::give_notice(
+    const std::string& instance, const std::string& domain, double seconds)
+{
+    caller_call what;
+    what.address = address(99, cloud_port);
+    what.method = "POST";
+    what.path = "/v1/notices";
+    what.body = json{
+        {"instance", instance},
+        {"failure_domain", domain},
+        {"time_left_s",
+         seconds}}.dump();
+    if (call(what).status != 201)
+        throw std::runtime_error("the fake cloud takes no notice");
+}
+
+caller_answer cluster::operate(
+    unsigned index,
+    const std::string& method,
+    const std::string& path,
+    const std::string& body,
+    const std::map<std::string, std::string>& headers)
+{
+    caller_call what;
+    what.address = admin(index);
+    what.method = method;
+    what.path = path;
+    what.key = operator_token;
+    what.body = body;
+    what.headers = headers;
+    what.seconds = 6;
+    return call(what);
+}
+
+std::uint64_t cluster::put(const std::string& path, const std::string& body)
+{
+    const std::string idempotency_key = "put-" + std::to_string(++next_key_);
+    std::uint64_t revision = 0;
+    const auto accepted = [&]
+    {
+        for (unsigned i = 0; i < nodes_; ++i)
+        {
+            if (!daemons_[i].running())
+                continue;
+            const auto answer = operate(
+                i,
+                "PUT",
+                path,
+                body,
+                {{"If-Match", std::to_string(revision)},
+                 {"Idempotency-Key",
+                  idempotency_key + "-" + std::to_string(revision)}});
+            const json value = json::parse(answer.body, nullptr, false);
+            if (value.is_object() && value.contains("revision"))
+                revision = value["revision"].get<std::uint64_t>();
+            if (answer.status == 200 || answer.status == 201)
+                return true;
+            if (answer.status == 412)
+                return false;
+        }
+        return false;
+    };
+    if (!wait_until(accepted))
+        throw std::runtime_error("no quorum accepts " + path);
+    return revision;
+}
+
+void cluster::configure()
+{
+    put("/v1/config/classes/chat", R"({"first_token_ms":1600})");
+    put("/v1/config/services/assistant-llm",
+        R"({"kind":"engine","default_class":"chat"})");
+    put("/v1/config/services/order-desk",
+        R"({"kind":"plain","default_class":"chat",
+            "routes":[{"path_prefix":"/orders","repeatable":false}]})");
+    put("/v1/config/accounts/binder", account_text(key));
+    const auto last = put("/v1/config/accounts/other", account_text(other_key));
+    for (unsigned i = 0; i < nodes_; ++i)
+    {
+        const auto in_force = [&]
+        {
+            const json status = json::parse(
+                operate(i, "GET", "/v1/status").body, nullptr, false);
+            return status.is_object() && status.value("ready", false) &&
+                   status.value("revision", 0UL) >= last;
+        };
+        if (!wait_until(in_force))
+            throw std::runtime_error("not in force at " + node_name(i));
+    }
+}
+
+std::vector<std::string> cluster::orders() const
+{
+    std::ifstream in(folder_ + "/orders");
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(in, line);)
+        lines.push_back(line);
+    return lines;
+}
+
+bool cluster::wait_until(const std::function<bool()>& holds, double seconds)
+{
+    const auto end = std::chrono::steady_clock::now() +
+                     std::chrono::duration<double>(seconds);
+    while (!holds())
+    {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(poll_pause);
+    }
+    return true;
+}
+
+} // namespace bergamotusher::tests
