--- a/src/daemon/serving_duty.cpp
+++ b/src/daemon/serving_duty.cpp
@@ -6,6 +6,7 @@
 #include "daemon/upstream_view.hpp"
 #include "routing/prefix.hpp"
 #include "wire/directory_codec.hpp"
+#include "wire/serving_codec.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -52,7 +53,6 @@
         , callers(loop, links.callers)
         , upstreams(loop, links.upstreams)
         , control(loop, links.control)
-        , peers(loop, links.peers)
         , timer(loop)
     {
         requests.options.node = node;
@@ -70,7 +70,6 @@
     outbox<serving_action> callers;
     outbox<serving_action> upstreams;
     outbox<proposal> control;
-    outbox<peer_message> peers;
     boost::asio::steady_timer timer;
 
     serving::life_cycle requests;
@@ -86,6 +85,7 @@
     std::optional<time_point> refuse_from;
     pacer gossip{gossip_interval, {}};
     pacer report{entry_report_interval, {}};
+    std::uint64_t malformed_messages = 0;
     published<serving_view> shown;
 };
 
@@ -118,7 +118,9 @@
     wire::message_kind kind,
     std::string body)
 {
-    duty.peers.send({to, kind, std::move(body)});
+    // A message that is lost here is counted there, and made good by the
+    // next one or by a time limit.
+    bergamotusher::send(duty.links.peers, {to, kind, std::move(body)});
 }
 
 void send_all_peers(
@@ -148,6 +150,25 @@
     duty.control.send(propose(duty.journal, action, wall_now(), now()));
 }
 
+// Carries out what other entries are told; false if `action` is not that.
+bool tell_peers(duty_state& duty, const serving_action& action)
+{
+    if (const auto* given = std::get_if<hand_over>(&action))
+        send_peer(
+            duty,
+            given->successor,
+            wire::hand_over,
+            wire::encode(given->state));
+    else if (const auto* reply = std::get_if<hand_over_reply>(&action))
+        send_peer(
+            duty, reply->to, wire::hand_over_reply, wire::encode(*reply));
+    else if (const auto* crash = std::get_if<report_crash>(&action))
+        send_all_peers(duty, wire::crash_report, wire::encode(*crash));
+    else
+        return false;
+    return true;
+}
+
 void carry_out(duty_state& duty, serving_action&& action)
 {
     if (const auto* begin = std::get_if<journal_begin>(&action))
@@ -172,7 +193,7 @@
         record(duty, std::move(happened->value));
     else if (std::holds_alternative<drained>(action))
         duty.links.on_drained();
-    else
+    else if (!tell_peers(duty, action))
         duty.callers.send(std::move(action));
 }
 
@@ -255,19 +276,33 @@
         });
 }
 
-void take_directory(duty_state& duty, const peer_message& message)
+// Feeds a decoded message; one that cannot be read is dropped.
+template<class Input>
+void feed_decoded(
+    duty_state& duty, const std::variant<Input, failure>& decoded)
+{
+    if (const auto* input = std::get_if<Input>(&decoded))
+        feed(duty, *input);
+    else
+        ++duty.malformed_messages;
+}
+
+void take_directory(duty_state& duty, const incoming_message& message)
 {
     const auto parsed = wire::decode_directory_delta(message.body);
     const auto* delta = std::get_if<membership::directory_delta>(&parsed);
     if (delta == nullptr)
+    {
+        ++duty.malformed_messages;
         return;
+    }
     std::optional<membership::directory_delta> answer;
     take_changes(
         duty,
         take_delta(
             duty.view, *delta, duty.node, duty.incarnation, answer, now()));
     if (answer)
-        send_peer(duty, message.peer, wire::directory, wire::encode(*answer));
+        send_peer(duty, message.from, wire::directory, wire::encode(*answer));
 }
 
 } // namespace
@@ -324,12 +359,31 @@
     }
 }
 
-void serving_duty::take(peer_message&& message)
+void serving_duty::take(incoming_message&& message)
 {
-    if (message.kind == wire::directory)
-        take_directory(*state_, message);
-    else if (message.kind == wire::entry_status)
-        take_report(state_->entries, message.peer, message.body, now());
+    duty_state& duty = *state_;
+    switch (message.kind)
+    {
+    case wire::directory:
+        take_directory(duty, message);
+        break;
+    case wire::entry_status:
+        if (!take_report(duty.entries, message.from, message.body, now()))
+            ++duty.malformed_messages;
+        break;
+    case wire::hand_over:
+        feed_decoded(
+            duty, wire::decode_handed_over(message.body, message.from));
+        break;
+    case wire::hand_over_reply:
+        feed_decoded(duty, wire::decode_hand_over_answered(message.body));
+        break;
+    case wire::crash_report:
+        feed_decoded(duty, wire::decode_crash_reported(message.body));
+        break;
+    default:
+        ++duty.malformed_messages;
+    }
 }
 
 void serving_duty::take(const reclaim_notice& notice)
--- a/src/daemon/serving_duty.hpp
+++ b/src/daemon/serving_duty.hpp
@@ -8,7 +8,7 @@
 #include "daemon/admin_duty.hpp"
 #include "daemon/entry_view.hpp"
 #include "daemon/events_duty.hpp"
-#include "daemon/peer_message.hpp"
+#include "daemon/peers_duty.hpp"
 #include "serving/life_cycle.hpp"
 #include "settings/settings.hpp"
 
@@ -40,7 +40,7 @@
     mailbox<serving_action>& callers;
     mailbox<serving_action>& upstreams;
     mailbox<proposal>& control;
-    mailbox<peer_message>& peers;
+    peers_sender& peers;
     events_port& events;
     /// Runs once, on the duty's loop, when nothing accepted is left.
     std::function<void()> on_drained;
@@ -72,7 +72,7 @@
     void take(serving_input&& input);
     void take(upstream_message&& message);
     void take(control_news&& news);
-    void take(peer_message&& message);
+    void take(incoming_message&& message);
     void take(const reclaim_notice& notice);
 
     /// Is not handed out to callers from now on, serves those that still hold
