--- /dev/null
+++ b/src/consensus/replica.cpp
@@ -0,0 +1,274 @@
+#include "consensus/replica.hpp"
+
+#include "consensus/internal.hpp"
+
+#include <algorithm>
+#include <type_traits>
+
+namespace bergamotusher::consensus
+{
+
+namespace
+{
+
+template<class... F>
+struct overloaded : F...
+{
+    using F::operator()...;
+};
+template<class... F>
+overloaded(F...) -> overloaded<F...>;
+
+bool storage_is_stuck(const replica& replica, time_point now)
+{
+    return !replica.outstanding.empty() &&
+           now - replica.outstanding.begin()->second.since >
+               replica.options.timing.election_max;
+}
+
+bool may_campaign(const replica& replica, time_point now)
+{
+    return replica.hard.admitted && !replica.installing &&
+           is_voter(members_of(replica), replica.options.self) &&
+           !storage_is_stuck(replica, now);
+}
+
+void tick_leader(replica& replica, actions& out, time_point now)
+{
+    const duration patience = replica.options.timing.election_max;
+    const bool silent = now - replica.elected_at > patience &&
+                        quorum_acked_at(replica) < now - patience;
+    if (silent || storage_is_stuck(replica, now))
+        return become_follower(replica, out, replica.hard.term, {}, now);
+    if (now < replica.heartbeat_at)
+        return;
+    repair_members(replica, out, now);
+    heartbeat(replica, out, now);
+}
+
+void tick_other(replica& replica, actions& out, time_point now)
+{
+    if (!replica.hard.admitted)
+        ask_to_join(replica, out, now);
+    if (now < replica.election_at)
+        return;
+    if (may_campaign(replica, now))
+        start_pre_vote(replica, out, now);
+    else
+        reset_election(replica, now);
+}
+
+void append_commands(
+    replica& replica, actions& out, const propose& input, time_point now)
+{
+    const log_index last = last_index(replica.log);
+    if (replica.role != role::leader)
+        return out.emplace_back(refused{error_kind::not_leader}), void();
+    if (last - replica.commit + input.commands.size() >
+        replica.options.limits.uncommitted)
+        return out.emplace_back(refused{error_kind::overloaded}), void();
+    for (const std::string& command : input.commands)
+        append_own(replica, entry{.command = command, .members = {}});
+    out.emplace_back(
+        proposed{last + 1, input.commands.size(), replica.hard.term});
+    replicate(replica, out, now);
+}
+
+void note_synced(
+    replica& replica, actions& out, std::uint64_t token, time_point now)
+{
+    while (!replica.outstanding.empty() &&
+           replica.outstanding.begin()->first <= token)
+    {
+        const log_index last = replica.outstanding.begin()->second.last;
+        replica.synced = std::max(replica.synced, last);
+        replica.outstanding.erase(replica.outstanding.begin());
+    }
+    replica.synced_token = std::max(replica.synced_token, token);
+    snapshot_synced(replica, out, now);
+    for (const held_message& held : replica.held)
+        if (held.token <= replica.synced_token)
+            emit(out, held.to, held.content);
+    replica.held.erase(
+        std::remove_if(
+            replica.held.begin(),
+            replica.held.end(),
+            [&](const held_message& held)
+            { return held.token <= replica.synced_token; }),
+        replica.held.end());
+    count_own_vote(replica, out, now);
+    if (replica.role == role::leader)
+        advance_commit(replica, out, now);
+    apply_committed(replica, out);
+}
+
+void halt(replica& replica, actions& out)
+{
+    fail_reads(replica, out);
+    replica.role = role::halted;
+    replica.leader = {};
+    replica.held.clear();
+    announce_role(replica, out);
+}
+
+void take(replica& replica, actions& out, const input& input, time_point now)
+{
+    std::visit(
+        overloaded{
+            [&](const tick&)
+            {
+                if (replica.role == role::leader)
+                    tick_leader(replica, out, now);
+                else
+                    tick_other(replica, out, now);
+            },
+            [&](const received& in)
+            {
+                std::visit(
+                    [&](const auto& content)
+                    { handle(replica, out, in.from, content, now); },
+                    in.content);
+            },
+            [&](const propose& in) { append_commands(replica, out, in, now); },
+            [&](const change_members& in)
+            {
+                if (!append_members(replica, out, in.members, now))
+                    out.emplace_back(refused{error_kind::not_leader});
+            },
+            [&](const storage_synced& in)
+            { note_synced(replica, out, in.token, now); },
+            [&](const storage_broken&) { halt(replica, out); },
+            [&](const snapshot_taken& in)
+            { take_snapshot(replica, out, in, now); },
+            [&](const read_index& in)
+            {
+                start_read(replica, out, in, now);
+            }},
+        input);
+}
+
+void recover_memberships(replica& replica, const recovered_state& recovered)
+{
+    const replica_options& options = replica.options;
+    if (recovered.base.index > 0)
+        replica.memberships.emplace_back(
+            recovered.base.index, recovered.base.members);
+    else
+        replica.memberships.emplace_back(
+            0, initial_membership(options.nodes, options.limits.wanted_voters));
+    for (const entry& entry : recovered.entries)
+        note_membership(replica, entry);
+}
+
+} // namespace
+
+void emit(actions& out, const node_id& to, message content)
+{
+    out.emplace_back(send{to, std::move(content)});
+}
+
+std::uint64_t covering_token(const replica& replica)
+{
+    const bool changed =
+        replica.hard_changed || replica.persisted < last_index(replica.log);
+    return changed ? replica.next_token : replica.next_token - 1;
+}
+
+void emit_durable(
+    replica& replica, actions& out, const node_id& to, message content)
+{
+    const std::uint64_t token = covering_token(replica);
+    if (token <= replica.synced_token)
+        emit(out, to, std::move(content));
+    else
+        replica.held.push_back({token, to, std::move(content)});
+}
+
+void persist_now(replica& replica, actions& out, time_point now)
+{
+    const std::uint64_t token = covering_token(replica);
+    if (token < replica.next_token)
+        return;
+    const log_index last = last_index(replica.log);
+    persist write{token, replica.hard, {}};
+    for (log_index i = replica.persisted + 1; i <= last; ++i)
+        write.entries.push_back(entry_at(replica.log, i));
+    out.emplace_back(std::move(write));
+    replica.outstanding[token] = {last, now};
+    replica.persisted = last;
+    replica.hard_changed = false;
+    ++replica.next_token;
+}
+
+void announce_role(const replica& replica, actions& out)
+{
+    out.emplace_back(
+        role_changed{replica.role, replica.hard.term, replica.leader});
+}
+
+replica
+make_replica(replica_options options, recovered_state recovered, time_point now)
+{
+    replica made;
+    made.draws = options.seed;
+    made.options = std::move(options);
+    made.hard = recovered.hard;
+    recover_memberships(made, recovered);
+    made.log.base_index = recovered.base.index;
+    made.log.base_term = recovered.base.term;
+    made.log.entries.assign(
+        std::make_move_iterator(recovered.entries.begin()),
+        std::make_move_iterator(recovered.entries.end()));
+    if (recovered.base.index > 0)
+        made.base = std::make_shared<const snapshot>(std::move(recovered.base));
+    made.commit = made.log.base_index;
+    made.applied = made.log.base_index;
+    made.synced = last_index(made.log);
+    made.persisted = made.synced;
+    made.heard_at = now;
+    made.joined_query_at = now - made.options.timing.heartbeat;
+    reset_election(made, now);
+    return made;
+}
+
+actions step(replica& replica, const input& input, time_point now)
+{
+    actions out;
+    if (replica.role == role::halted)
+    {
+        if (std::holds_alternative<propose>(input))
+            out.emplace_back(refused{error_kind::storage_failed});
+        if (const auto* read = std::get_if<read_index>(&input))
+            out.emplace_back(read_failed{read->token});
+        return out;
+    }
+    take(replica, out, input, now);
+    if (replica.role != role::halted)
+        persist_now(replica, out, now);
+    return out;
+}
+
+time_point next_tick(const replica& replica)
+{
+    if (replica.role == role::halted)
+        return time_point::max();
+    if (replica.role == role::leader)
+        return replica.heartbeat_at;
+    if (!replica.hard.admitted)
+        return std::min(
+            replica.election_at,
+            replica.joined_query_at + replica.options.timing.heartbeat);
+    return replica.election_at;
+}
+
+const membership& members_of(const replica& replica)
+{
+    return replica.memberships.back().second;
+}
+
+bool members_committed(const replica& replica)
+{
+    return replica.memberships.back().first <= replica.commit;
+}
+
+} // namespace bergamotusher::consensus
--- /dev/null
+++ b/src/consensus/segment.cpp
@@ -0,0 +1,126 @@
+#include "consensus/segment.hpp"
+
+#include <boost/crc.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include <cstring>
+
+namespace bergamotusher::consensus
+{
+
+namespace
+{
+
+constexpr char magic[] = {'b', 'u', 'l', '1'};
+constexpr std::size_t magic_size = sizeof(magic);
+constexpr std::size_t header_size = magic_size + 4 + 4 + 8;
+
+struct header
+{
+    std::uint32_t length = 0;
+    std::uint32_t crc = 0;
+    std::uint64_t synced_size = 0;
+};
+
+template<class T>
+void put(std::string& bytes, T value)
+{
+    value = boost::endian::native_to_little(value);
+    char raw[sizeof(T)];
+    std::memcpy(raw, &value, sizeof(T));
+    bytes.append(raw, sizeof(T));
+}
+
+template<class T>
+T take(const std::string& bytes, std::size_t offset)
+{
+    T value;
+    std::memcpy(&value, bytes.data() + offset, sizeof(T));
+    return boost::endian::little_to_native(value);
+}
+
+/// What the checksum covers.
+std::string checked_bytes(const std::string& payload, std::uint64_t synced_size)
+{
+    std::string bytes;
+    put(bytes, synced_size);
+    return bytes + payload;
+}
+
+/// Reads the record at `offset`; false if there is no whole one.
+bool read_record(
+    const std::string& bytes,
+    std::size_t offset,
+    header& head,
+    stored_record& record)
+{
+    if (bytes.size() - offset < header_size ||
+        bytes.compare(offset, magic_size, magic, magic_size) != 0)
+        return false;
+    head.length = take<std::uint32_t>(bytes, offset + magic_size);
+    head.crc = take<std::uint32_t>(bytes, offset + magic_size + 4);
+    head.synced_size = take<std::uint64_t>(bytes, offset + magic_size + 8);
+    if (bytes.size() - offset - header_size < head.length)
+        return false;
+    const std::string payload = bytes.substr(offset + header_size, head.length);
+    if (checksum(checked_bytes(payload, head.synced_size)) != head.crc)
+        return false;
+    auto decoded = decode_record(payload);
+    if (!decoded)
+        return false;
+    record = std::move(*decoded);
+    return true;
+}
+
+/// True if a whole record after `bad` says that `bad` had been synced.
+bool was_synced(const std::string& bytes, std::size_t bad)
+{
+    const std::string needle(magic, magic_size);
+    for (std::size_t i = bytes.find(needle, bad + 1); i != std::string::npos;
+         i = bytes.find(needle, i + 1))
+    {
+        header head;
+        stored_record record;
+        if (read_record(bytes, i, head, record) && head.synced_size > bad)
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+std::uint32_t checksum(const std::string& bytes)
+{
+    boost::crc_32_type crc;
+    crc.process_bytes(bytes.data(), bytes.size());
+    return crc.checksum();
+}
+
+std::string frame_record(const std::string& payload, std::uint64_t synced_size)
+{
+    std::string bytes(magic, magic_size);
+    put(bytes, static_cast<std::uint32_t>(payload.size()));
+    put(bytes, checksum(checked_bytes(payload, synced_size)));
+    put(bytes, synced_size);
+    return bytes + payload;
+}
+
+segment_content parse_segment(const std::string& bytes)
+{
+    segment_content content;
+    while (content.valid_size < bytes.size())
+    {
+        header head;
+        stored_record record;
+        if (!read_record(bytes, content.valid_size, head, record))
+        {
+            content.corrupt = was_synced(bytes, content.valid_size);
+            return content;
+        }
+        content.valid_size += header_size + head.length;
+        content.records.push_back(std::move(record));
+    }
+    return content;
+}
+
+} // namespace bergamotusher::consensus
--- /dev/null
+++ b/tests/consensus/replica_test.cpp
@@ -0,0 +1,248 @@
+#include "consensus/virtual_network.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace virtual_network;
+
+namespace
+{
+
+network started(std::size_t count, std::uint64_t seed = 7)
+{
+    network net = make_network(count, seed);
+    for (std::size_t i = 0; i < count; ++i)
+        start_node(net, i);
+    return net;
+}
+
+std::size_t elected(network& net)
+{
+    REQUIRE(run_until_leader(net));
+    return *leader_of(net);
+}
+
+/// Proposes `count` commands to the leader; false if it refused.
+bool propose_to(network& net, std::size_t leader, std::size_t count)
+{
+    propose input;
+    for (std::size_t i = 0; i < count; ++i)
+        input.commands.push_back("command " + std::to_string(i));
+    for (const action& out : give(net, leader, input))
+        if (std::holds_alternative<refused>(out))
+            return false;
+    return true;
+}
+
+/// Runs until `done`; the virtual time that it took, or nothing.
+template<class Done>
+std::optional<duration> run_until(network& net, duration limit, Done done)
+{
+    const time_point start = net.now;
+    while (net.now < start + limit)
+    {
+        if (done())
+            return net.now - start;
+        run(net, 5ms);
+    }
+    return std::nullopt;
+}
+
+std::size_t live_voters(const network& net, std::size_t leader)
+{
+    std::size_t live = 0;
+    for (const node_id& id : members_of(net.nodes[leader].core).voters)
+        for (const node& node : net.nodes)
+            live += node.id == id && node.running ? 1 : 0;
+    return live;
+}
+
+} // namespace
+
+TEST_CASE("four new nodes form a cluster")
+{
+    network net = started(4);
+    const std::size_t leader = elected(net);
+    const membership& members = members_of(net.nodes[leader].core);
+    CHECK(members.voters.size() == 3);
+    CHECK(members.learners.size() == 1);
+
+    SECTION("and commit what is proposed, at each node")
+    {
+        REQUIRE(propose_to(net, leader, 10));
+        run(net, 1s);
+        for (const node& node : net.nodes)
+            CHECK(node.applied == net.nodes[leader].applied);
+        CHECK(net.applied_commands == 10);
+    }
+    SECTION("the learner is admitted, so that it can be promoted")
+    {
+        run(net, 1s);
+        for (const node& node : net.nodes)
+            CHECK(node.core.hard.admitted);
+    }
+    SECTION("a follower refuses a proposal")
+    {
+        CHECK_FALSE(propose_to(net, (leader + 1) % 4, 1));
+    }
+}
+
+TEST_CASE("no cluster forms while an initial voter was never heard of")
+{
+    network net = make_network(3, 11);
+    start_node(net, 0);
+    start_node(net, 1);
+    CHECK_FALSE(run_until_leader(net, 10s));
+    start_node(net, 2);
+    CHECK(run_until_leader(net, 10s));
+}
+
+TEST_CASE("nothing is acknowledged before it is synced")
+{
+    network net = started(3);
+    const std::size_t leader = elected(net);
+    const std::size_t before = net.applied_commands;
+    for (node& node : net.nodes)
+        node.disk.hung = true;
+    REQUIRE(propose_to(net, leader, 1));
+    run(net, 500ms);
+    CHECK(net.applied_commands == before);
+}
+
+TEST_CASE("a lost voter is replaced by the learner")
+{
+    network net = started(4);
+    const std::size_t leader = elected(net);
+    run(net, 1s);
+    std::size_t victim = (leader + 1) % 4;
+    while (!is_voter(members_of(net.nodes[leader].core), net.nodes[victim].id))
+        victim = (victim + 1) % 4;
+    kill_node(net, victim);
+
+    const duration lost_after = consensus::timing{}.voter_lost_after;
+    const auto took = run_until(
+        net,
+        lost_after + 5s,
+        [&]
+        {
+            const replica& core = net.nodes[leader].core;
+            return members_committed(core) && live_voters(net, leader) == 3 &&
+                   members_of(core).voters.size() == 3;
+        });
+    REQUIRE(took);
+
+    SECTION("a second loss right after the repair leaves a quorum")
+    {
+        kill_node(net, leader);
+        REQUIRE(run_until_leader(net, 10s));
+        REQUIRE(propose_to(net, *leader_of(net), 1));
+        run(net, 500ms);
+        CHECK(net.applied_commands == 1);
+    }
+    SECTION("the lost voter comes back as a learner and does not campaign")
+    {
+        const term_number term = net.nodes[leader].core.hard.term;
+        start_node(net, victim);
+        run(net, 10s);
+        CHECK(net.nodes[leader].core.hard.term == term);
+        CHECK(is_learner(
+            members_of(net.nodes[victim].core), net.nodes[victim].id));
+    }
+}
+
+TEST_CASE("a replica that was cut off does no harm")
+{
+    network net = started(3);
+    const std::size_t leader = elected(net);
+
+    SECTION("a follower disturbs no term when it returns")
+    {
+        const term_number term = net.nodes[leader].core.hard.term;
+        net.group[(leader + 1) % 3] = 1;
+        run(net, 180s);
+        net.group.assign(3, 0);
+        run(net, 10s);
+        CHECK(net.nodes[leader].core.role == role::leader);
+        CHECK(net.nodes[leader].core.hard.term == term);
+    }
+    SECTION("a leader stops by its own clock before another acts")
+    {
+        net.group[leader] = 1;
+        run(net, 1s);
+        const node& old = net.nodes[leader];
+        CHECK_FALSE(may_order(old.core, local_now(net, old)));
+        REQUIRE(run_until_leader(net, 10s));
+        CHECK(*leader_of(net) != leader);
+        run(net, 180s);
+        net.group.assign(3, 0);
+        run(net, 5s);
+        CHECK(net.nodes[leader].core.role == role::follower);
+    }
+}
+
+TEST_CASE("a follower far behind is given a snapshot in chunks")
+{
+    network net = make_network(3, 5);
+    net.snapshot_every = 20;
+    net.limits.kept_entries = 5;
+    net.limits.chunk_bytes = 4;
+    for (std::size_t i = 0; i < 3; ++i)
+        start_node(net, i);
+    const std::size_t leader = elected(net);
+    const std::size_t behind = (leader + 1) % 3;
+    kill_node(net, behind);
+    for (int i = 0; i < 10; ++i)
+    {
+        REQUIRE(propose_to(net, leader, 10));
+        run(net, 100ms);
+    }
+    REQUIRE(net.nodes[leader].core.log.base_index > 20);
+    start_node(net, behind);
+    run(net, 3s);
+    CHECK(net.nodes[behind].applied == net.nodes[leader].applied);
+    CHECK(net.nodes[behind].core.base->index > 20);
+}
+
+TEST_CASE("a voter with a lost disk votes only after it is admitted again")
+{
+    network net = started(3);
+    const std::size_t leader = elected(net);
+    REQUIRE(propose_to(net, leader, 5));
+    run(net, 1s);
+    const std::size_t victim = (leader + 1) % 3;
+    lose_disk(net, victim);
+    CHECK_FALSE(net.nodes[victim].core.hard.admitted);
+    run(net, 5s);
+    CHECK(net.nodes[victim].core.hard.admitted);
+    CHECK(is_voter(members_of(net.nodes[leader].core), net.nodes[victim].id));
+    CHECK(net.nodes[victim].applied == net.nodes[leader].applied);
+}
+
+TEST_CASE("a read is answered by lease or by a round of the quorum")
+{
+    network net = started(3);
+    const std::size_t leader = elected(net);
+    give(net, leader, read_index{1});
+    CHECK(net.nodes[leader].reads.size() == 1);
+    const auto refused_read = give(net, (leader + 1) % 3, read_index{2});
+    CHECK(std::holds_alternative<read_failed>(refused_read.front()));
+
+    SECTION("a leader that is cut off answers none")
+    {
+        net.group[leader] = 1;
+        run(net, 1s);
+        give(net, leader, read_index{3});
+        run(net, 5s);
+        CHECK(net.nodes[leader].reads.size() == 1);
+    }
+}
+
+TEST_CASE("a leader whose disk hangs gives way")
+{
+    network net = started(3);
+    const std::size_t leader = elected(net);
+    net.nodes[leader].disk.hung = true;
+    REQUIRE(propose_to(net, leader, 1));
+    run(net, 10s);
+    REQUIRE(leader_of(net));
+    CHECK(*leader_of(net) != leader);
+}
--- /dev/null
+++ b/tests/consensus/virtual_network.cpp
@@ -0,0 +1,363 @@
+#include "consensus/virtual_network.hpp"
+
+#include <functional>
+
+namespace virtual_network
+{
+
+namespace
+{
+
+constexpr duration tick_length = 5ms;
+
+double draw(network& net)
+{
+    return std::uniform_real_distribution<double>(0, 1)(net.random);
+}
+
+std::size_t index_of(const network& net, const node_id& id)
+{
+    for (std::size_t i = 0; i < net.nodes.size(); ++i)
+        if (net.nodes[i].id == id)
+            return i;
+    throw violation("a message to an unknown node");
+}
+
+void post(network& net, std::size_t from, const send& out)
+{
+    const std::size_t to = index_of(net, out.to);
+    const int copies =
+        draw(net) < net.drop ? 0 : (draw(net) < net.duplicate ? 2 : 1);
+    for (int i = 0; i < copies; ++i)
+    {
+        const auto delay = duration(1 + net.random() % net.delay_max.count());
+        net.messages.emplace(net.now + delay, in_flight{from, to, out.content});
+    }
+}
+
+std::uint64_t mix(std::uint64_t state, const entry& value)
+{
+    const std::string key = std::to_string(state) + "/" +
+                            std::to_string(value.index) + "/" +
+                            std::to_string(value.term) + "/" + value.command;
+    return std::hash<std::string>{}(key);
+}
+
+void check_state(network& net, const node& node)
+{
+    const auto [known, fresh] = net.states.emplace(node.applied, node.state);
+    if (!fresh && known->second != node.state)
+        throw violation(
+            "state-machine safety: two states at index " +
+            std::to_string(node.applied));
+}
+
+void apply_entry(network& net, node& node, const entry& value)
+{
+    if (value.index != node.applied + 1)
+        throw violation("an entry was applied out of order");
+    node.applied = value.index;
+    node.state = mix(node.state, value);
+    check_state(net, node);
+    if (net.committed.emplace(value.index, value.term).second &&
+        value.kind == entry_kind::command)
+        ++net.applied_commands;
+}
+
+void restore_state(network& net, node& node, const snapshot& value)
+{
+    node.applied = value.index;
+    node.state = value.index == 0 ? 0 : std::stoull(*value.data);
+    if (value.index > 0)
+        check_state(net, node);
+}
+
+void check_leader(network& net, std::size_t index)
+{
+    const replica& core = net.nodes[index].core;
+    const auto [known, fresh] = net.leaders.emplace(core.hard.term, index);
+    if (!fresh && known->second != index)
+        throw violation("election safety: two leaders in one term");
+    for (const auto& [at, term] : net.committed)
+        if (at >= core.log.base_index && term_at(core.log, at) != term)
+            throw violation("leader completeness: a committed entry is gone");
+}
+
+void store_now(virtual_disk& disk, const persist& write)
+{
+    disk.stored.hard = write.hard;
+    for (const entry& value : write.entries)
+    {
+        auto& entries = disk.stored.entries;
+        const log_index base = disk.stored.base.index;
+        if (value.index <= base)
+            continue;
+        if (value.index > base + entries.size() + 1)
+            throw violation("a gap was written");
+        entries.resize(value.index - base - 1);
+        entries.push_back(value);
+    }
+}
+
+void store_now(virtual_disk& disk, const persist_snapshot& write)
+{
+    recovered_state& stored = disk.stored;
+    const log_index old_base = stored.base.index;
+    const log_index end = write.value->index;
+    if (write.reset || end > old_base + stored.entries.size())
+        stored.entries.clear();
+    else
+        stored.entries.erase(
+            stored.entries.begin(),
+            stored.entries.begin() +
+                static_cast<std::ptrdiff_t>(end - old_base));
+    stored.base = *write.value;
+}
+
+void store_first(virtual_disk& disk)
+{
+    std::visit(
+        [&](const auto& write) { store_now(disk, write); },
+        disk.pending.front());
+    disk.pending.pop_front();
+}
+
+void carry_out(network& net, std::size_t index, const actions& out);
+
+void finish_syncs(network& net, std::size_t index)
+{
+    node& node = net.nodes[index];
+    virtual_disk& disk = node.disk;
+    while (node.running && !disk.pending.empty() && !disk.hung &&
+           disk.busy_until <= net.now)
+    {
+        if (disk.full)
+        {
+            disk.pending.clear();
+            give(net, index, storage_broken{});
+            return;
+        }
+        const std::uint64_t token = std::visit(
+            [](const auto& write) { return write.token; },
+            disk.pending.front());
+        store_first(disk);
+        disk.busy_until = net.now + disk.sync_time;
+        give(net, index, storage_synced{token});
+    }
+}
+
+void take_snapshot_if_due(network& net, std::size_t index)
+{
+    node& node = net.nodes[index];
+    const log_index base = node.core.base ? node.core.base->index : 0;
+    if (net.snapshot_every == 0 || node.core.taking ||
+        node.applied < base + net.snapshot_every)
+        return;
+    give(
+        net,
+        index,
+        snapshot_taken{
+            node.applied,
+            std::make_shared<const std::string>(std::to_string(node.state))});
+}
+
+void carry_out(network& net, std::size_t index, const actions& out)
+{
+    node& node = net.nodes[index];
+    for (const action& one : out)
+    {
+        if (const auto* value = std::get_if<send>(&one))
+            post(net, index, *value);
+        else if (const auto* value = std::get_if<persist>(&one))
+            node.disk.pending.emplace_back(*value);
+        else if (const auto* value = std::get_if<persist_snapshot>(&one))
+            node.disk.pending.emplace_back(*value);
+        else if (const auto* value = std::get_if<apply>(&one))
+            apply_entry(net, node, value->value);
+        else if (const auto* value = std::get_if<restore>(&one))
+            restore_state(net, node, *value->value);
+        else if (const auto* value = std::get_if<read_ready>(&one))
+            node.reads.push_back(*value);
+        else if (const auto* value = std::get_if<role_changed>(&one))
+            if (value->role == role::leader)
+                check_leader(net, index);
+    }
+}
+
+void check_leases(const network& net)
+{
+    int holders = 0;
+    for (const node& node : net.nodes)
+    {
+        if (!node.running)
+            continue;
+        const time_point local = local_now(net, node);
+        const bool holds = local < lease_until(node.core);
+        if (may_order(node.core, local) && !holds)
+            throw violation("may_order without a lease");
+        holders += holds ? 1 : 0;
+    }
+    if (holders > 1)
+        throw violation("two lease holders at once");
+}
+
+void deliver_due(network& net)
+{
+    while (!net.messages.empty() && net.messages.begin()->first <= net.now)
+    {
+        const in_flight due = net.messages.begin()->second;
+        net.messages.erase(net.messages.begin());
+        node& to = net.nodes[due.to];
+        if (!to.running || net.group[due.from] != net.group[due.to])
+            continue;
+        if (to.frozen)
+            net.messages.emplace(net.now + 20ms, due);
+        else
+            give(net, due.to, received{net.nodes[due.from].id, due.content});
+    }
+}
+
+void tick_nodes(network& net)
+{
+    for (std::size_t i = 0; i < net.nodes.size(); ++i)
+    {
+        node& node = net.nodes[i];
+        if (!node.running || node.frozen)
+            continue;
+        finish_syncs(net, i);
+        if (next_tick(node.core) <= local_now(net, node))
+            give(net, i, tick{});
+        take_snapshot_if_due(net, i);
+    }
+}
+
+} // namespace
+
+network make_network(std::size_t count, std::uint64_t seed)
+{
+    network net;
+    net.random.seed(seed);
+    net.now = time_point(1h);
+    net.group.assign(count, 0);
+    net.nodes.resize(count);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        node& node = net.nodes[i];
+        node.id = {"n" + std::to_string(i)};
+        node.storage_id = net.random() | 1U;
+        const double drift = consensus::timing{}.clock_drift;
+        node.clock_rate = 1 + drift * (2 * draw(net) - 1);
+        node.clock_offset = duration(net.random() % 1'000'000'000);
+    }
+    return net;
+}
+
+time_point local_now(const network& net, const node& node)
+{
+    const double real = static_cast<double>(net.now.time_since_epoch().count());
+    const auto local = static_cast<std::int64_t>(real * node.clock_rate);
+    return time_point(duration(local) + node.clock_offset);
+}
+
+void start_node(network& net, std::size_t index)
+{
+    node& node = net.nodes[index];
+    replica_options options;
+    options.self = node.id;
+    for (const auto& other : net.nodes)
+        options.nodes.push_back({other.id, {"domain of " + other.id.value}});
+    options.storage_id = node.storage_id;
+    options.seed = net.random();
+    options.limits = net.limits;
+    node.running = true;
+    node.frozen = false;
+    node.reads.clear();
+    restore_state(net, node, node.disk.stored.base);
+    node.core = make_replica(options, node.disk.stored, local_now(net, node));
+}
+
+void kill_node(network& net, std::size_t index)
+{
+    node& node = net.nodes[index];
+    node.running = false;
+    virtual_disk& disk = node.disk;
+    const std::size_t written = net.random() % (disk.pending.size() + 1);
+    for (std::size_t i = 0; i < written && !disk.full; ++i)
+        store_first(disk);
+    disk.pending.clear();
+}
+
+void lose_disk(network& net, std::size_t index)
+{
+    kill_node(net, index);
+    net.nodes[index].disk = {};
+    net.nodes[index].storage_id = net.random() | 1U;
+    start_node(net, index);
+}
+
+actions give(network& net, std::size_t index, const input& input)
+{
+    node& node = net.nodes[index];
+    actions out = step(node.core, input, local_now(net, node));
+    carry_out(net, index, out);
+    return out;
+}
+
+void run(network& net, duration span)
+{
+    const time_point end = net.now + span;
+    while (net.now < end)
+    {
+        net.now += tick_length;
+        deliver_due(net);
+        tick_nodes(net);
+        check_leases(net);
+    }
+}
+
+std::optional<std::size_t> leader_of(const network& net)
+{
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < net.nodes.size(); ++i)
+    {
+        const node& node = net.nodes[i];
+        if (node.running && node.core.role == role::leader &&
+            (!best || net.nodes[*best].core.hard.term < node.core.hard.term))
+            best = i;
+    }
+    return best;
+}
+
+bool run_until_leader(network& net, duration limit)
+{
+    const time_point end = net.now + limit;
+    while (net.now < end)
+    {
+        run(net, 10ms);
+        for (const node& node : net.nodes)
+            if (node.running && !node.frozen &&
+                may_order(node.core, local_now(net, node)))
+                return true;
+    }
+    return false;
+}
+
+void check_log_matching(const network& net)
+{
+    for (const node& a : net.nodes)
+        for (const node& b : net.nodes)
+        {
+            const log_index low =
+                std::max(a.core.log.base_index, b.core.log.base_index);
+            log_index at =
+                std::min(last_index(a.core.log), last_index(b.core.log));
+            while (at > low &&
+                   term_at(a.core.log, at) != term_at(b.core.log, at))
+                --at;
+            for (; at > low; --at)
+                if (!(entry_at(a.core.log, at) == entry_at(b.core.log, at)))
+                    throw violation("log matching");
+        }
+}
+
+} // namespace virtual_network
