--- /dev/null
+++ b/src/daemon/peers_duty.cpp
@@ -0,0 +1,444 @@
+#include "daemon/peers_duty.hpp"
+
+#include <boost/lockfree/spsc_queue.hpp>
+#include <zmq.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <set>
+#include <sys/eventfd.h>
+#include <thread>
+#include <unistd.h>
+
+namespace bergamotusher
+{
+
+namespace
+{
+
+constexpr int reconnect_ms = 100;
+constexpr int reconnect_max_ms = 1000;
+/// A connection that answers no ping for so long is closed, so that one over
+/// a partition does not wait for the kernel's timeouts when it ends.
+constexpr int ping_interval_ms = 2000;
+constexpr int ping_timeout_ms = 4000;
+constexpr std::int64_t message_bytes_max = 8 * 1024 * 1024;
+/// Messages taken from the network before the senders get their turn.
+constexpr int receive_burst = 256;
+constexpr std::size_t z85_key_size = 40;
+constexpr const char* monitor_endpoint = "inproc://peers-monitor";
+
+struct counter
+{
+    std::atomic<std::uint64_t> messages{0};
+    std::atomic<std::uint64_t> bytes{0};
+};
+
+void add(counter& to, std::size_t bytes)
+{
+    to.messages.fetch_add(1, std::memory_order_relaxed);
+    to.bytes.fetch_add(bytes, std::memory_order_relaxed);
+}
+
+hybrid_time wall_clock()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return {
+        std::chrono::duration_cast<std::chrono::milliseconds>(now).count(), 0};
+}
+
+} // namespace
+
+struct peers_sender
+{
+    peers_sender(peers_duty& owner, std::size_t capacity)
+        : duty(owner), ring(capacity)
+    {
+    }
+
+    peers_duty& duty;
+    boost::lockfree::spsc_queue<outgoing_message> ring;
+};
+
+struct peers_duty
+{
+    peers_options options;
+    std::array<message_handler, message_kinds> handlers;
+    std::vector<std::unique_ptr<peers_sender>> senders;
+
+    zmq::context_t context{1};
+    zmq::socket_t router;
+    zmq::socket_t monitor;
+    zmq::socket_t gatekeeper;
+    std::map<node_id, zmq::socket_t> dealers;
+    std::map<node_id, std::uint64_t> incarnations;
+
+    std::thread thread;
+    std::atomic<bool> stopping{false};
+    std::atomic<bool> woken{false};
+    int wake_file = -1;
+
+    std::array<counter, message_kinds> sent;
+    std::array<counter, message_kinds> received;
+    std::atomic<std::uint64_t> dropped_unreachable{0};
+    std::atomic<std::uint64_t> dropped_ring_full{0};
+    std::atomic<std::uint64_t> refused_connections{0};
+    std::atomic<std::uint64_t> malformed{0};
+    std::atomic<std::uint64_t> unknown_sender{0};
+    std::atomic<std::uint64_t> stale_incarnation{0};
+    std::string address;
+};
+
+namespace
+{
+
+void wake(peers_duty& duty)
+{
+    if (duty.woken.exchange(true))
+        return;
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const ssize_t written =
+        ::write(duty.wake_file, &one, sizeof(one));
+}
+
+void set_common(zmq::socket_t& socket, const peers_options& options)
+{
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::sndhwm, options.queue);
+    socket.set(zmq::sockopt::rcvhwm, options.queue);
+    socket.set(zmq::sockopt::maxmsgsize, message_bytes_max);
+    socket.set(zmq::sockopt::heartbeat_ivl, ping_interval_ms);
+    socket.set(zmq::sockopt::heartbeat_timeout, ping_timeout_ms);
+}
+
+/// Answers the transport's question whether a client key is let in.
+void open_gatekeeper(peers_duty& duty)
+{
+    duty.gatekeeper = zmq::socket_t(duty.context, zmq::socket_type::rep);
+    duty.gatekeeper.set(zmq::sockopt::linger, 0);
+    duty.gatekeeper.bind("inproc://zeromq.zap.01");
+}
+
+void open_router(peers_duty& duty)
+{
+    const peers_options& options = duty.options;
+    duty.router = zmq::socket_t(duty.context, zmq::socket_type::router);
+    set_common(duty.router, options);
+    if (options.keys)
+    {
+        open_gatekeeper(duty);
+        duty.router.set(zmq::sockopt::zap_domain, "peers");
+        duty.router.set(zmq::sockopt::curve_server, true);
+        duty.router.set(
+            zmq::sockopt::curve_secretkey, options.keys->secret_key);
+    }
+    const int events = ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL |
+                       ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL |
+                       ZMQ_EVENT_HANDSHAKE_FAILED_AUTH;
+    zmq_socket_monitor(duty.router.handle(), monitor_endpoint, events);
+    duty.monitor = zmq::socket_t(duty.context, zmq::socket_type::pair);
+    duty.monitor.set(zmq::sockopt::linger, 0);
+    duty.monitor.connect(monitor_endpoint);
+    duty.router.bind("tcp://" + options.address);
+    duty.address = duty.router.get(zmq::sockopt::last_endpoint)
+                       .substr(std::string("tcp://").size());
+}
+
+void open_dealer(peers_duty& duty, const peer_address& peer)
+{
+    zmq::socket_t dealer(duty.context, zmq::socket_type::dealer);
+    set_common(dealer, duty.options);
+    // Nothing waits for a peer that is away: what it would get is out of date.
+    dealer.set(zmq::sockopt::immediate, true);
+    dealer.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
+    dealer.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
+    if (const auto& keys = duty.options.keys)
+    {
+        dealer.set(zmq::sockopt::curve_serverkey, keys->public_key);
+        dealer.set(zmq::sockopt::curve_publickey, keys->public_key);
+        dealer.set(zmq::sockopt::curve_secretkey, keys->secret_key);
+    }
+    dealer.connect("tcp://" + peer.address);
+    duty.dealers.emplace(peer.id, std::move(dealer));
+}
+
+void answer_gatekeeper(peers_duty& duty)
+{
+    std::vector<std::string> frames;
+    zmq::message_t frame;
+    do
+    {
+        if (!duty.gatekeeper.recv(frame, zmq::recv_flags::dontwait))
+            return;
+        frames.push_back(frame.to_string());
+    } while (frame.more());
+    // version, request id, domain, address, identity, mechanism, client key
+    constexpr std::size_t curve_frames = 7;
+    bool let_in = false;
+    if (frames.size() == curve_frames && frames[5] == "CURVE")
+    {
+        char text[z85_key_size + 1] = {};
+        const std::string& key = frames[6];
+        zmq_z85_encode(
+            text,
+            reinterpret_cast<const std::uint8_t*>(key.data()),
+            key.size());
+        let_in = text == duty.options.keys->public_key;
+    }
+    const std::string id = frames.size() > 1 ? frames[1] : std::string();
+    const std::array<std::string, 6> answer{
+        "1.0", id, let_in ? "200" : "400", "", "", ""};
+    for (std::size_t i = 0; i < answer.size(); ++i)
+        duty.gatekeeper.send(
+            zmq::buffer(answer[i]),
+            i + 1 < answer.size() ? zmq::send_flags::sndmore
+                                  : zmq::send_flags::none);
+}
+
+void count_refusals(peers_duty& duty)
+{
+    zmq::message_t frame;
+    while (duty.monitor.recv(frame, zmq::recv_flags::dontwait))
+        if (!frame.more())
+            duty.refused_connections.fetch_add(1, std::memory_order_relaxed);
+}
+
+/// False if a newer incarnation of the node was heard before.
+bool is_newest(peers_duty& duty, const incoming_message& message)
+{
+    std::uint64_t& newest = duty.incarnations[message.from];
+    newest = std::max(newest, message.incarnation);
+    return newest == message.incarnation;
+}
+
+void take(peers_duty& duty, const zmq::message_t& frame)
+{
+    wire::envelope envelope;
+    if (!envelope.ParseFromArray(
+            frame.data(), static_cast<int>(frame.size())) ||
+        !wire::message_kind_IsValid(envelope.kind()))
+    {
+        duty.malformed.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    incoming_message message{
+        {envelope.from()},
+        envelope.incarnation(),
+        envelope.kind(),
+        std::move(*envelope.mutable_body())};
+    if (duty.dealers.count(message.from) == 0)
+    {
+        duty.unknown_sender.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    if (!is_newest(duty, message))
+    {
+        duty.stale_incarnation.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    if (duty.options.observe)
+        duty.options.observe({envelope.wall_ms(), envelope.logical()});
+    add(duty.received[message.kind], frame.size());
+    if (const message_handler& handler = duty.handlers[message.kind])
+        handler(std::move(message));
+}
+
+void receive(peers_duty& duty)
+{
+    zmq::message_t frame;
+    for (int i = 0; i < receive_burst; ++i)
+    {
+        // The first frame is the connection's routing id.
+        if (!duty.router.recv(frame, zmq::recv_flags::dontwait))
+            return;
+        std::size_t frames = 1;
+        while (frame.more())
+        {
+            if (!duty.router.recv(frame, zmq::recv_flags::dontwait))
+                return;
+            ++frames;
+        }
+        if (frames == 2)
+            take(duty, frame);
+        else
+            duty.malformed.fetch_add(1, std::memory_order_relaxed);
+    }
+}
+
+void transmit(peers_duty& duty, outgoing_message&& message)
+{
+    const hybrid_time at =
+        duty.options.clock ? duty.options.clock() : wall_clock();
+    wire::envelope envelope;
+    envelope.set_kind(message.kind);
+    envelope.set_from(duty.options.self.value);
+    envelope.set_incarnation(duty.options.incarnation);
+    envelope.set_wall_ms(at.wall);
+    envelope.set_logical(at.logical);
+    envelope.set_body(std::move(message.body));
+    const std::string bytes = envelope.SerializeAsString();
+    const auto dealer = duty.dealers.find(message.to);
+    if (dealer == duty.dealers.end() ||
+        !dealer->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait))
+    {
+        duty.dropped_unreachable.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    add(duty.sent[message.kind], bytes.size());
+}
+
+void transmit_waiting(peers_duty& duty)
+{
+    std::uint64_t ignored = 0;
+    [[maybe_unused]] const ssize_t got =
+        ::read(duty.wake_file, &ignored, sizeof(ignored));
+    duty.woken.store(false);
+    outgoing_message message;
+    for (const auto& sender : duty.senders)
+        while (sender->ring.pop(message))
+            transmit(duty, std::move(message));
+}
+
+void run(peers_duty& duty)
+{
+    std::vector<zmq::pollitem_t> items{
+        {duty.router.handle(), 0, ZMQ_POLLIN, 0},
+        {duty.monitor.handle(), 0, ZMQ_POLLIN, 0},
+        {nullptr, duty.wake_file, ZMQ_POLLIN, 0}};
+    if (duty.options.keys)
+        items.push_back({duty.gatekeeper.handle(), 0, ZMQ_POLLIN, 0});
+    constexpr std::chrono::milliseconds forever{-1};
+    while (!duty.stopping.load())
+    {
+        zmq::poll(items, forever);
+        if (items[0].revents != 0)
+            receive(duty);
+        if (items[1].revents != 0)
+            count_refusals(duty);
+        if (items[2].revents != 0)
+            transmit_waiting(duty);
+        if (items.size() > 3 && items[3].revents != 0)
+            answer_gatekeeper(duty);
+    }
+}
+
+} // namespace
+
+void peers_deleter::operator()(peers_duty* duty) const
+{
+    stop(*duty);
+    if (duty->wake_file >= 0)
+        ::close(duty->wake_file);
+    delete duty;
+}
+
+std::variant<peer_keys, failure> parse_peer_keys(const std::string& secret)
+{
+    char text[z85_key_size + 1] = {};
+    if (secret.size() != z85_key_size ||
+        zmq_curve_public(text, secret.c_str()) != 0)
+        return failure{
+            error_kind::invalid_setting,
+            "the peer key must be 40 characters of Z85"};
+    return peer_keys{text, secret};
+}
+
+std::variant<peer_keys, failure> read_peer_keys(const std::string& path)
+{
+    std::ifstream file(path);
+    std::string secret;
+    if (!std::getline(file, secret))
+        return failure{
+            error_kind::invalid_setting, "cannot read the key file " + path};
+    return parse_peer_keys(secret);
+}
+
+peers_handle make_peers(peers_options options)
+{
+    peers_handle duty(new peers_duty);
+    duty->options = std::move(options);
+    duty->wake_file = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    return duty;
+}
+
+void on_message(
+    peers_duty& duty, wire::message_kind kind, message_handler handler)
+{
+    duty.handlers[kind] = std::move(handler);
+}
+
+peers_sender& make_sender(peers_duty& duty, std::size_t capacity)
+{
+    duty.senders.push_back(std::make_unique<peers_sender>(duty, capacity));
+    return *duty.senders.back();
+}
+
+std::optional<failure> start(peers_duty& duty)
+{
+    try
+    {
+        open_router(duty);
+        for (const peer_address& peer : duty.options.peers)
+            if (peer.id != duty.options.self)
+                open_dealer(duty, peer);
+    }
+    catch (const zmq::error_t& error)
+    {
+        return failure{
+            error_kind::invalid_setting,
+            "peer address " + duty.options.address + ": " + error.what()};
+    }
+    duty.thread = std::thread([&duty] { run(duty); });
+    return std::nullopt;
+}
+
+void stop(peers_duty& duty)
+{
+    if (!duty.thread.joinable())
+        return;
+    duty.stopping.store(true);
+    duty.woken.store(false);
+    wake(duty);
+    duty.thread.join();
+    zmq_socket_monitor(duty.router.handle(), nullptr, 0);
+    duty.dealers.clear();
+    duty.router.close();
+    duty.monitor.close();
+    duty.gatekeeper.close();
+}
+
+bool send(peers_sender& sender, outgoing_message&& message)
+{
+    if (!sender.ring.push(std::move(message)))
+    {
+        sender.duty.dropped_ring_full.fetch_add(1, std::memory_order_relaxed);
+        return false;
+    }
+    wake(sender.duty);
+    return true;
+}
+
+peers_status status_of(const peers_duty& duty)
+{
+    peers_status status;
+    for (std::size_t i = 0; i < message_kinds; ++i)
+    {
+        status.sent[i] = {duty.sent[i].messages, duty.sent[i].bytes};
+        status.received[i] = {
+            duty.received[i].messages, duty.received[i].bytes};
+    }
+    status.dropped_unreachable = duty.dropped_unreachable;
+    status.dropped_ring_full = duty.dropped_ring_full;
+    status.refused_connections = duty.refused_connections;
+    status.malformed = duty.malformed;
+    status.unknown_sender = duty.unknown_sender;
+    status.stale_incarnation = duty.stale_incarnation;
+    status.address = duty.address;
+    return status;
+}
+
+} // namespace bergamotusher
