--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	cd $(BUILD) && ctest --output-on-failure -j 4
 
 demo: build
-	tools/demo $(BUILD)
+	$(BUILD)/bergamotusher_demo
 
 format:
 	tools/each-source | xargs clang-format -i
--- a/src/daemon/admin_duty.cpp
+++ b/src/daemon/admin_duty.cpp
@@ -7,7 +7,6 @@
 #include <openssl/crypto.h>
 
 #include <charconv>
-#include <unordered_map>
 
 namespace bergamotusher
 {
@@ -19,6 +18,7 @@
 constexpr std::string_view upstreams_path = "/v1/upstreams";
 constexpr std::string_view events_suffix = "/events";
 constexpr std::size_t most_events = 10'000;
+constexpr int first_error_status = 400;
 
 using exchange_ptr = std::shared_ptr<http_exchange>;
 
@@ -26,20 +26,14 @@
 
 struct admin_duty::state_data
 {
-    state_data(
-        mailbox<upstream_message>& to_serving,
-        mailbox<operator_task>& to_control,
-        admin_options o)
-        : options(std::move(o)), serving(to_serving), control(to_control)
+    state_data(mailbox<upstream_message>& to_serving, admin_options o)
+        : options(std::move(o)), serving(to_serving)
     {
     }
 
     admin_options options;
     mailbox<upstream_message>& serving;
-    mailbox<operator_task>& control;
     admin_counters counters;
-    std::unordered_map<std::uint64_t, exchange_ptr> waiting;
-    std::uint64_t next_ticket = 1;
     std::unique_ptr<http_server> server;
 };
 
@@ -202,20 +196,28 @@
     return true;
 }
 
-void ask_control(
+void send_answer(http_exchange& exchange, state::operator_answer&& answer)
+{
+    http_fields fields{
+        {"Content-Type",
+         answer.status < first_error_status ? "application/json"
+                                            : "application/problem+json"}};
+    if (answer.revision > 0)
+        fields.emplace_back("ETag", std::to_string(answer.revision));
+    exchange.answer(answer.status, fields, std::move(answer.body));
+}
+
+void operate(
     duty_state& duty, http_request&& request, const exchange_ptr& exchange)
 {
-    operator_task task{
-        duty.next_ticket++,
+    duty.options.operate(
         {request.method,
          request.path(),
          request.header("if-match"),
          request.header("idempotency-key"),
-         std::move(request.body)}};
-    const std::uint64_t ticket = task.ticket;
-    if (!duty.control.push(std::move(task)))
-        return answer_problem(*exchange, {error_kind::overloaded, ""});
-    duty.waiting[ticket] = exchange;
+         std::move(request.body)},
+        [exchange](state::operator_answer answer)
+        { send_answer(*exchange, std::move(answer)); });
 }
 
 void handle(
@@ -238,7 +240,7 @@
     if (answer_read(duty, request, *exchange))
         return;
     if (path.rfind("/v1/config", 0) == 0 || path.rfind("/v1/moves", 0) == 0)
-        return ask_control(duty, std::move(request), exchange);
+        return operate(duty, std::move(request), exchange);
     answer_problem(*exchange, {error_kind::unknown_resource, path});
 }
 
@@ -247,9 +249,8 @@
 admin_duty::admin_duty(
     boost::asio::io_context& loop,
     mailbox<upstream_message>& serving,
-    mailbox<operator_task>& control,
     admin_options options)
-    : state_(std::make_shared<state_data>(serving, control, std::move(options)))
+    : state_(std::make_shared<state_data>(serving, std::move(options)))
 {
     state_->server = std::make_unique<http_server>(
         loop,
@@ -265,22 +266,6 @@
 
 admin_duty::~admin_duty() = default;
 
-void admin_duty::take(operator_reply&& reply)
-{
-    const auto found = state_->waiting.find(reply.ticket);
-    if (found == state_->waiting.end())
-        return;
-    const exchange_ptr exchange = found->second;
-    state_->waiting.erase(found);
-    http_fields fields{
-        {"Content-Type",
-         reply.answer.status < 400 ? "application/json"
-                                   : "application/problem+json"}};
-    if (reply.answer.revision > 0)
-        fields.emplace_back("ETag", std::to_string(reply.answer.revision));
-    exchange->answer(reply.answer.status, fields, reply.answer.body);
-}
-
 const http_counters& admin_duty::http() const
 {
     return state_->server->counters();
--- a/src/daemon/admin_duty.hpp
+++ b/src/daemon/admin_duty.hpp
@@ -30,20 +30,6 @@
 using upstream_message =
     std::variant<upstream, upstream_left, membership::upstream_events>;
 
-/// An operator's request on its way to the control duty.
-struct operator_task
-{
-    std::uint64_t ticket = 0;
-    state::operator_request request;
-};
-
-/// The answer to the task of the same ticket.
-struct operator_reply
-{
-    std::uint64_t ticket = 0;
-    state::operator_answer answer;
-};
-
 /// What the admin duty needs from the rest of the process. The functions may
 /// be called from the duty's thread at any time.
 struct admin_options
@@ -54,6 +40,10 @@
     /// Empty: announcing upstreams are refused.
     std::string upstream_token;
     http_limits limits;
+    /// Answers an operator by the replicated state, at once or later.
+    std::function<void(
+        state::operator_request, std::function<void(state::operator_answer)>)>
+        operate;
     std::function<std::string()> status;
     std::function<std::string()> upstreams;
     std::function<std::string()> metrics;
@@ -76,13 +66,9 @@
     admin_duty(
         boost::asio::io_context& loop,
         mailbox<upstream_message>& serving,
-        mailbox<operator_task>& control,
         admin_options options);
     ~admin_duty();
 
-    /// Takes the answer to an operator's request.
-    void take(operator_reply&& reply);
-
     const http_counters& http() const;
     const admin_counters& counters() const;
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,12 +2,14 @@
 
 #include "daemon/admin_duty.hpp"
 #include "daemon/callers_duty.hpp"
+#include "daemon/control_duty.hpp"
 #include "daemon/events_duty.hpp"
-#include "daemon/peer_message.hpp"
+#include "daemon/operator_desk.hpp"
+#include "daemon/peers_duty.hpp"
 #include "daemon/platform_duty.hpp"
 #include "daemon/process_report.hpp"
 #include "daemon/serving_duty.hpp"
-#include "daemon/state_host.hpp"
+#include "daemon/state_store.hpp"
 #include "daemon/supervisor.hpp"
 #include "daemon/upstreams_duty.hpp"
 #include "observe/logging.hpp"
@@ -16,7 +18,6 @@
 
 #include <fstream>
 #include <stdexcept>
-#include <thread>
 
 namespace bergamotusher
 {
@@ -27,12 +28,19 @@
 constexpr std::size_t ring_capacity = 16 * 1024;
 constexpr std::size_t small_ring_capacity = 1024;
 
-std::string must_read(const char* flag, const std::string& file)
+template<class T>
+T must(std::variant<T, failure> value)
 {
-    auto token = read_token(flag, file);
-    if (const auto* wrong = std::get_if<failure>(&token))
+    if (const auto* wrong = std::get_if<failure>(&value))
         throw std::runtime_error(wrong->detail);
-    return std::get<std::string>(std::move(token));
+    return std::get<T>(std::move(value));
+}
+
+void must_start(const std::optional<failure>& wrong)
+{
+    if (wrong)
+        throw std::runtime_error(
+            std::string(answer_of(wrong->kind).name) + ": " + wrong->detail);
 }
 
 events_options event_settings(const settings& values)
@@ -40,21 +48,62 @@
     events_options options;
     options.node = values.node;
     if (!values.data_dir.empty())
-        options.files =
-            observe::event_file_options{values.data_dir + "/events"};
+        options.files = observe::event_file_options{values.data_dir + "/events"};
     return options;
 }
 
+std::vector<peer_address> peer_addresses(const settings& values)
+{
+    std::vector<peer_address> result;
+    for (const peer& one : values.peers)
+        result.push_back({one.id, to_string(one.address), one.domain});
+    return result;
+}
+
+peers_options peer_settings(
+    const settings& values,
+    std::uint64_t incarnation,
+    observe::process_clock& clock)
+{
+    peers_options options;
+    options.self = values.node;
+    options.incarnation = incarnation;
+    options.address = to_string(values.peer_address);
+    options.peers = peer_addresses(values);
+    if (!values.peer_key_file.empty())
+        options.keys = must(read_peer_keys(values.peer_key_file));
+    options.clock = [&clock] { return clock.next(); };
+    options.observe = [&clock](hybrid_time remote) { clock.merge(remote); };
+    return options;
+}
+
+// A ring whose values `target`, once it is built, takes on its own loop.
+template<class T, class Target>
+mailbox<T>
+ring_to(duty& thread, std::unique_ptr<Target>& target, std::size_t capacity)
+{
+    return mailbox<T>(
+        thread.loop(),
+        capacity,
+        [&target](T&& value) { target->take(std::move(value)); });
+}
+
 } // namespace
 
-// Declared in the order in which the parts need each other: rings are there
-// before the duties that write to them.
+// The parts stand in the order in which they need each other: threads, rings,
+// duties.
 struct daemon_process::parts
 {
     explicit parts(const settings& v);
 
-    void on_reply(operator_reply&& reply);
     void publish(std::shared_ptr<const configuration> config);
+    void make_control_side();
+    void make_serving_side();
+    void make_caller_side();
+    void make_admin_side();
+    void make_platform_side();
+    void start();
+    void drain(std::optional<time_point> deadline);
 
     settings values;
     std::uint64_t incarnation;
@@ -65,33 +114,32 @@
     duty& upstreams_thread;
     duty& serving_thread;
     duty& admin_thread;
-    duty& control_thread;
     duty& platform_thread;
 
     std::unique_ptr<callers_duty> callers;
     std::unique_ptr<upstreams_duty> upstreams;
     std::unique_ptr<serving_duty> serving;
+    std::unique_ptr<operator_desk> desk;
     std::unique_ptr<admin_duty> admin;
     std::unique_ptr<platform_duty> platform;
-    state_host host;
-    std::uint64_t local_index = 0;
 
     mailbox<serving_input> callers_to_serving;
     mailbox<serving_input> upstreams_to_serving;
     mailbox<upstream_message> admin_to_serving;
     mailbox<control_news> control_to_serving;
     mailbox<reclaim_notice> platform_to_serving;
-    mailbox<peer_message> peers_to_serving;
+    mailbox<incoming_message> peers_to_serving;
     mailbox<serving_action> serving_to_callers;
     mailbox<serving_action> serving_to_upstreams;
-    mailbox<proposal> serving_to_control;
-    mailbox<peer_message> serving_to_peers;
-    mailbox<operator_task> admin_to_control;
-    mailbox<operator_reply> control_to_admin;
+    mailbox<proposal_answer> control_to_desk;
     mailbox<std::shared_ptr<const configuration>> control_to_callers;
 
+    state_store store;
+    peers_handle peers;
+    control_handle control;
+
     std::atomic<bool> is_drained{false};
-    bool reported_unhealthy = false;
+    std::atomic<bool> storage_failed{false};
 };
 
 daemon_process::parts::parts(const settings& v)
@@ -102,202 +150,236 @@
     , upstreams_thread(tree.add("upstreams"))
     , serving_thread(tree.add("serving"))
     , admin_thread(tree.add("admin"))
-    , control_thread(tree.add("control"))
     , platform_thread(tree.add("platform"))
     , callers_to_serving(
-          serving_thread.loop(),
-          ring_capacity,
-          [this](serving_input&& input) { serving->take(std::move(input)); })
+          ring_to<serving_input>(serving_thread, serving, ring_capacity))
     , upstreams_to_serving(
-          serving_thread.loop(),
-          ring_capacity,
-          [this](serving_input&& input) { serving->take(std::move(input)); })
+          ring_to<serving_input>(serving_thread, serving, ring_capacity))
     , admin_to_serving(
-          serving_thread.loop(),
-          ring_capacity,
-          [this](upstream_message&& message)
-          { serving->take(std::move(message)); })
+          ring_to<upstream_message>(serving_thread, serving, ring_capacity))
     , control_to_serving(
-          serving_thread.loop(),
-          ring_capacity,
-          [this](control_news&& news) { serving->take(std::move(news)); })
-    , platform_to_serving(
-          serving_thread.loop(),
-          small_ring_capacity,
-          [this](reclaim_notice&& notice) { serving->take(notice); })
+          ring_to<control_news>(serving_thread, serving, ring_capacity))
+    , platform_to_serving(ring_to<reclaim_notice>(
+          serving_thread, serving, small_ring_capacity))
     , peers_to_serving(
-          serving_thread.loop(),
-          ring_capacity,
-          [this](peer_message&& message) { serving->take(std::move(message)); })
+          ring_to<incoming_message>(serving_thread, serving, ring_capacity))
     , serving_to_callers(
-          callers_thread.loop(),
-          ring_capacity,
-          [this](serving_action&& action) { callers->take(std::move(action)); })
+          ring_to<serving_action>(callers_thread, callers, ring_capacity))
     , serving_to_upstreams(
-          upstreams_thread.loop(),
-          ring_capacity,
-          [this](serving_action&& action)
-          { upstreams->take(std::move(action)); })
-    , serving_to_control(
-          control_thread.loop(),
-          ring_capacity,
-          [this](proposal&& wanted)
-          {
-              const auto index = ++local_index;
-              control_to_serving.push(proposal_answer{
-                  wanted.ticket,
-                  proposal_outcome::committed,
-                  apply(host, index, wanted.command),
-                  index});
-          })
-    , serving_to_peers(
-          control_thread.loop(), ring_capacity, [](peer_message&&) {})
-    , admin_to_control(
-          control_thread.loop(),
-          small_ring_capacity,
-          [this](operator_task&& task)
-          { bergamotusher::take(host, std::move(task), wall_now(), now()); })
-    , control_to_admin(
-          admin_thread.loop(),
-          small_ring_capacity,
-          [this](operator_reply&& reply) { admin->take(std::move(reply)); })
+          ring_to<serving_action>(upstreams_thread, upstreams, ring_capacity))
+    , control_to_desk(
+          ring_to<proposal_answer>(admin_thread, desk, small_ring_capacity))
     , control_to_callers(
           callers_thread.loop(),
           small_ring_capacity,
           [this](std::shared_ptr<const configuration>&& config)
           { callers->apply(std::move(config)); })
+    , store([this](std::shared_ptr<const configuration> config)
+            { publish(std::move(config)); })
+    , peers(make_peers(peer_settings(values, incarnation, clock)))
 {
+    make_control_side();
+    make_serving_side();
+    make_caller_side();
+    make_admin_side();
+    make_platform_side();
 }
 
 void daemon_process::parts::publish(std::shared_ptr<const configuration> config)
 {
     control_to_callers.push(std::shared_ptr<const configuration>(config));
     control_to_serving.push(configuration_applied{std::move(config)});
-    control_to_serving.push(configuration_lease{time_point::max()});
 }
 
-daemon_process::daemon_process(const settings& values)
-    : parts_(std::make_unique<parts>(values))
+void daemon_process::parts::make_control_side()
 {
-    parts& p = *parts_;
-    observe::start_logging(
-        *from_name<observe::log_level>(values.log_level),
-        *from_name<observe::log_format>(values.log_format));
-    callers_options caller_side;
-    caller_side.address = values.entry_address;
-    caller_side.node = values.node;
-    caller_side.incarnation = p.incarnation;
-    caller_side.entries = [&p](const account_id& account)
+    control_options options;
+    options.self = values.node;
+    options.nodes = peer_addresses(values);
+    options.data_dir = values.data_dir;
+    options.record = [port = &events.port("control")](
+                         event_kind kind,
+                         std::uint64_t number,
+                         const std::string& detail)
     {
-        return membership::entries_json(membership::order_entries(
-            p.serving->shown()->entries, account, {}));
+        event happened;
+        happened.kind = kind;
+        happened.number = number;
+        happened.detail = detail;
+        port->record(std::move(happened));
     };
-    caller_side.entry_address_of = [&p](const node_id& id)
+    options.on_failure = [this](const failure&) { storage_failed = true; };
+    state_machine machine;
+    machine.apply = [this](std::uint64_t index, const std::string& command)
+    { return store.apply(index, command); };
+    machine.snapshot = [this] { return store.snapshot(); };
+    machine.restore = [this](std::uint64_t, const std::string& bytes)
     {
-        for (const peer& one : p.values.peers)
-            if (one.id == id)
-                return to_string(one.entry);
-        return std::string();
+        if (const std::error_code error = store.restore(bytes))
+            throw std::system_error(error, "cannot read a snapshot");
     };
-    p.callers = std::make_unique<callers_duty>(
-        p.callers_thread.loop(), p.callers_to_serving, caller_side);
-    p.upstreams = std::make_unique<upstreams_duty>(
-        p.upstreams_thread.loop(), p.upstreams_to_serving);
-    p.serving = std::make_unique<serving_duty>(
-        p.serving_thread.loop(),
+    machine.on_leadership = [](bool, std::uint64_t) {};
+    control =
+        make_control(std::move(options), std::move(machine), *peers);
+}
+
+void daemon_process::parts::make_serving_side()
+{
+    for (const auto kind :
+         {wire::directory,
+          wire::entry_status,
+          wire::hand_over,
+          wire::hand_over_reply,
+          wire::crash_report})
+        on_message(
+            *peers,
+            kind,
+            [this](incoming_message&& message)
+            { peers_to_serving.push(std::move(message)); });
+    proposer& to_control = make_proposer(
+        *control,
+        ring_capacity,
+        [this](control_news&& news)
+        { control_to_serving.push(std::move(news)); });
+    upstreams = std::make_unique<upstreams_duty>(
+        upstreams_thread.loop(), upstreams_to_serving);
+    serving = std::make_unique<serving_duty>(
+        serving_thread.loop(),
         values,
-        p.incarnation,
+        incarnation,
         serving_links{
-            p.serving_to_callers,
-            p.serving_to_upstreams,
-            p.serving_to_control,
-            p.serving_to_peers,
-            p.events.port("serving"),
-            [&p]
-            {
-                p.is_drained = true;
-            }});
-    admin_options admin_side;
-    admin_side.address = values.admin_address;
-    admin_side.operator_token =
-        must_read("--admin-token-file", values.admin_token_file);
-    admin_side.upstream_token =
-        must_read("--upstream-token-file", values.upstream_token_file);
-    admin_side.status = [&p]
-    {
-        return status_json(p.values, *p.serving->shown(), p.tree);
-    };
-    admin_side.upstreams = [&p]
-    {
-        return p.serving->shown()->upstreams;
-    };
-    admin_side.metrics = [&p]
-    {
-        return p.events.metrics();
-    };
-    admin_side.timeline = [&p](const observe::timeline_query& query)
-    {
-        return p.events.timeline(query);
-    };
-    admin_side.ready = [&p]
+            serving_to_callers,
+            serving_to_upstreams,
+            [&to_control](proposal wanted)
+            { return propose(to_control, std::move(wanted)); },
+            make_sender(*peers, ring_capacity),
+            events.port("serving"),
+            [this] { is_drained = true; }});
+}
+
+void daemon_process::parts::make_caller_side()
+{
+    callers_options options;
+    options.address = values.entry_address;
+    options.node = values.node;
+    options.incarnation = incarnation;
+    options.entries = [this](const account_id& account)
     {
-        return p.serving->shown()->ready;
+        return membership::entries_json(membership::order_entries(
+            serving->shown()->entries, account, {}));
     };
-    p.admin = std::make_unique<admin_duty>(
-        p.admin_thread.loop(),
-        p.admin_to_serving,
-        p.admin_to_control,
-        admin_side);
-    if (values.cloud)
-        p.platform = std::make_unique<platform_duty>(
-            p.platform_thread.loop(),
-            p.platform_to_serving,
-            platform_options{
-                *values.cloud,
-                values.node,
-                values.domain,
-                [this](time_point deadline)
-                {
-                    drain(deadline);
-                }});
-    p.host.links.publish = [&p](std::shared_ptr<const configuration> config)
+    options.entry_address_of = [this](const node_id& id)
     {
-        p.publish(std::move(config));
+        for (const peer& one : values.peers)
+            if (one.id == id)
+                return to_string(one.entry);
+        return std::string();
     };
-    p.host.links.reply = [&p](operator_reply reply)
+    callers = std::make_unique<callers_duty>(
+        callers_thread.loop(), callers_to_serving, std::move(options));
+}
+
+void daemon_process::parts::make_admin_side()
+{
+    proposer& to_control = make_proposer(
+        *control,
+        small_ring_capacity,
+        [this](control_news&& news)
+        {
+            if (auto* answer = std::get_if<proposal_answer>(&news))
+                control_to_desk.push(std::move(*answer));
+        });
+    desk = std::make_unique<operator_desk>(
+        admin_thread.loop(),
+        store,
+        [&to_control](proposal wanted)
+        { return propose(to_control, std::move(wanted)); });
+    admin_options options;
+    options.address = values.admin_address;
+    options.operator_token =
+        must(read_token("--admin-token-file", values.admin_token_file));
+    options.upstream_token =
+        must(read_token("--upstream-token-file", values.upstream_token_file));
+    options.operate =
+        [this](
+            state::operator_request request,
+            std::function<void(state::operator_answer)> reply)
+    { desk->take(std::move(request), std::move(reply)); };
+    options.status = [this]
     {
-        p.control_to_admin.push(std::move(reply));
+        return status_json(
+            values, *serving->shown(), status_of(*control), tree);
     };
-    p.host.links.propose = [&p](const proposal& wanted)
+    options.upstreams = [this] { return serving->shown()->upstreams; };
+    options.metrics = [this]
     {
-        const auto index = ++p.local_index;
-        bergamotusher::take(
-            p.host,
-            proposal_answer{
-                wanted.ticket,
-                proposal_outcome::committed,
-                apply(p.host, index, wanted.command),
-                index});
+        return events.metrics() +
+            metrics_text(
+                   {*serving->shown(),
+                    status_of(*control),
+                    status_of(*peers),
+                    callers->http(),
+                    callers->counters(),
+                    upstreams->counters(),
+                    admin->counters()});
     };
-    p.events.start();
-    p.tree.start(
-        [&p](const duty& one, const std::string& reason)
+    options.timeline = [this](const observe::timeline_query& query)
+    { return events.timeline(query); };
+    options.ready = [this] { return serving->shown()->ready; };
+    admin = std::make_unique<admin_duty>(
+        admin_thread.loop(), admin_to_serving, std::move(options));
+}
+
+void daemon_process::parts::make_platform_side()
+{
+    if (!values.cloud)
+        return;
+    platform = std::make_unique<platform_duty>(
+        platform_thread.loop(),
+        platform_to_serving,
+        platform_options{
+            *values.cloud,
+            values.node,
+            values.domain,
+            [this](time_point deadline) { drain(deadline); }});
+}
+
+void daemon_process::parts::start()
+{
+    events.start();
+    must_start(bergamotusher::start(*control));
+    must_start(bergamotusher::start(*peers));
+    tree.start(
+        [this](const duty& one, const std::string& reason)
         {
             event happened;
             happened.kind = event_kind::duty_restarted;
             happened.detail = one.name() + ": " + reason;
-            p.events.port("duty " + one.name()).record(std::move(happened));
+            events.port("duty " + one.name()).record(std::move(happened));
         });
 }
 
+void daemon_process::parts::drain(std::optional<time_point> deadline)
+{
+    boost::asio::post(
+        serving_thread.loop(),
+        [this, deadline] { serving->drain(deadline); });
+}
+
+daemon_process::daemon_process(const settings& values)
+{
+    observe::start_logging(
+        *from_name<observe::log_level>(values.log_level),
+        *from_name<observe::log_format>(values.log_format));
+    parts_ = std::make_unique<parts>(values);
+    parts_->start();
+}
+
 daemon_process::~daemon_process() = default;
 
 void daemon_process::drain(std::optional<time_point> deadline)
 {
-    parts& p = *parts_;
-    boost::asio::post(
-        p.serving_thread.loop(),
-        [&p, deadline] { p.serving->drain(deadline); });
+    parts_->drain(deadline);
 }
 
 bool daemon_process::drained() const
@@ -305,14 +387,17 @@
     return parts_->is_drained;
 }
 
-bool daemon_process::unhealthy()
+bool daemon_process::unhealthy() const
 {
-    return parts_->tree.check(now()) != health::good;
+    return parts_->storage_failed ||
+        parts_->tree.check(now()) != health::good;
 }
 
 void daemon_process::stop()
 {
     parts_->tree.stop();
+    bergamotusher::stop(*parts_->peers);
+    bergamotusher::stop(*parts_->control);
     parts_->events.stop();
 }
 
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -31,8 +31,8 @@
     bool drained() const;
 
     /// True once a duty has failed or stalled: the process should drain and
-    /// exit. Notes each on the time line once.
-    bool unhealthy();
+    /// exit.
+    bool unhealthy() const;
 
     /// Ends all duties.
     void stop();
--- a/src/daemon/process_report.hpp
+++ b/src/daemon/process_report.hpp
@@ -1,8 +1,13 @@
-// What one process says of itself to operators.
+// What one process says of itself to operators: status and metrics.
 #pragma once
 
+#include "daemon/admin_duty.hpp"
+#include "daemon/callers_duty.hpp"
+#include "daemon/control_duty.hpp"
+#include "daemon/peers_duty.hpp"
 #include "daemon/serving_duty.hpp"
 #include "daemon/supervisor.hpp"
+#include "daemon/upstreams_duty.hpp"
 #include "settings/settings.hpp"
 
 #include <string>
@@ -14,6 +19,23 @@
 std::string status_json(
     const settings& values,
     const serving_view& serving,
+    const control_status& control,
     const supervisor& tree);
 
+/// What the metrics of a process are read from.
+struct metrics_sources
+{
+    const serving_view& serving;
+    const control_status& control;
+    const peers_status& peers;
+    const http_counters& caller_http;
+    const callers_counters& callers;
+    const upstreams_counters& upstreams;
+    const admin_counters& admin;
+};
+
+/// The counters of the duties in the Prometheus text format; the time line's
+/// own stand apart.
+std::string metrics_text(const metrics_sources& from);
+
 } // namespace bergamotusher
--- a/src/daemon/serving_duty.cpp
+++ b/src/daemon/serving_duty.cpp
@@ -52,7 +52,6 @@
         , incarnation(start)
         , callers(loop, links.callers)
         , upstreams(loop, links.upstreams)
-        , control(loop, links.control)
         , timer(loop)
     {
         requests.options.node = node;
@@ -69,7 +68,6 @@
     std::uint64_t incarnation;
     outbox<serving_action> callers;
     outbox<serving_action> upstreams;
-    outbox<proposal> control;
     boost::asio::steady_timer timer;
 
     serving::life_cycle requests;
@@ -144,10 +142,26 @@
         feed(duty, input);
 }
 
+void take_answer(duty_state& duty, const proposal_answer& answer)
+{
+    auto news = take(duty.journal, answer, now());
+    if (news.event_to_record)
+        record(duty, std::move(*news.event_to_record));
+    if (news.input)
+        feed(duty, *news.input);
+}
+
+void send_proposal(duty_state& duty, proposal wanted)
+{
+    const std::uint64_t ticket = wanted.ticket;
+    if (!duty.links.propose(std::move(wanted)))
+        take_answer(duty, {ticket, proposal_outcome::not_committed, "", 0});
+}
+
 template<class Journal>
 void propose_journal(duty_state& duty, const Journal& action)
 {
-    duty.control.send(propose(duty.journal, action, wall_now(), now()));
+    send_proposal(duty, propose(duty.journal, action, wall_now(), now()));
 }
 
 // Carries out what other entries are told; false if `action` is not that.
@@ -248,7 +262,7 @@
     const time_point at = now();
     take_changes(duty, expire(duty.view, at));
     for (proposal& again : due(duty.journal, at))
-        duty.control.send(std::move(again));
+        send_proposal(duty, std::move(again));
     if (duty.gossip.due(at))
         send_delta(duty, at);
     if (duty.report.due(at))
@@ -349,14 +363,7 @@
     else if (const auto* lease = std::get_if<configuration_lease>(&news))
         duty.may_accept_until = lease->valid_until;
     else
-    {
-        auto answer = bergamotusher::take(
-            duty.journal, std::get<proposal_answer>(news), now());
-        if (answer.event_to_record)
-            record(duty, std::move(*answer.event_to_record));
-        if (answer.input)
-            feed(duty, *answer.input);
-    }
+        take_answer(duty, std::get<proposal_answer>(news));
 }
 
 void serving_duty::take(incoming_message&& message)
--- a/src/daemon/serving_duty.hpp
+++ b/src/daemon/serving_duty.hpp
@@ -39,7 +39,8 @@
 {
     mailbox<serving_action>& callers;
     mailbox<serving_action>& upstreams;
-    mailbox<proposal>& control;
+    /// Hands a proposal to the control duty; false if it cannot.
+    std::function<bool(proposal)> propose;
     peers_sender& peers;
     events_port& events;
     /// Runs once, on the duty's loop, when nothing accepted is left.
--- a/tests/process/caller.cpp
+++ b/tests/harness/caller.cpp
@@ -1,4 +1,4 @@
-#include "process/caller.hpp"
+#include "harness/caller.hpp"
 
 #include "settings/settings.hpp"
 
--- a/tests/process/child.cpp
+++ b/tests/harness/child.cpp
@@ -1,4 +1,4 @@
-#include "process/child.hpp"
+#include "harness/child.hpp"
 
 #include <chrono>
 #include <csignal>
--- a/tests/process/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -1,4 +1,4 @@
-#include "process/cluster.hpp"
+#include "harness/cluster.hpp"
 
 #include "base/digest.hpp"
 
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <thread>
 #include <unistd.h>
@@ -304,6 +305,16 @@
     }
 }
 
+std::string cluster::run_ctl(std::vector<std::string> arguments)
+{
+    const std::string output = folder_ + "/ctl.log";
+    fs::remove(output);
+    arguments.push_back("--token-file=" + folder_ + "/operator");
+    child(program("bergamotctl"), arguments, output).wait(10);
+    std::ifstream in(output);
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
 std::vector<std::string> cluster::orders() const
 {
     std::ifstream in(folder_ + "/orders");
--- a/tests/process/cluster.hpp
+++ b/tests/harness/cluster.hpp
@@ -2,8 +2,8 @@
 // ended when the test ends.
 #pragma once
 
-#include "process/caller.hpp"
-#include "process/child.hpp"
+#include "harness/caller.hpp"
+#include "harness/child.hpp"
 
 #include <functional>
 #include <map>
@@ -55,6 +55,9 @@
     /// Sets a configuration entry, whatever revision it takes; its revision.
     std::uint64_t put(const std::string& path, const std::string& body);
 
+    /// Runs `bergamotctl` with the operator's token; its output.
+    std::string run_ctl(std::vector<std::string> arguments);
+
     /// The orders that the desks ran, a line each.
     std::vector<std::string> orders() const;
 
--- a/tests/process/serving_test.cpp
+++ b/tests/process/serving_test.cpp
@@ -1,5 +1,5 @@
 // The whole path over separate processes: callers, four daemons, fakes.
-#include "process/cluster.hpp"
+#include "harness/cluster.hpp"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
