--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -48,7 +48,8 @@
     events_options options;
     options.node = values.node;
     if (!values.data_dir.empty())
-        options.files = observe::event_file_options{values.data_dir + "/events"};
+        options.files =
+            observe::event_file_options{values.data_dir + "/events"};
     return options;
 }
 
@@ -72,8 +73,14 @@
     options.peers = peer_addresses(values);
     if (!values.peer_key_file.empty())
         options.keys = must(read_peer_keys(values.peer_key_file));
-    options.clock = [&clock] { return clock.next(); };
-    options.observe = [&clock](hybrid_time remote) { clock.merge(remote); };
+    options.clock = [&clock]
+    {
+        return clock.next();
+    };
+    options.observe = [&clock](hybrid_time remote)
+    {
+        clock.merge(remote);
+    };
     return options;
 }
 
@@ -159,8 +166,8 @@
           ring_to<upstream_message>(serving_thread, serving, ring_capacity))
     , control_to_serving(
           ring_to<control_news>(serving_thread, serving, ring_capacity))
-    , platform_to_serving(ring_to<reclaim_notice>(
-          serving_thread, serving, small_ring_capacity))
+    , platform_to_serving(
+          ring_to<reclaim_notice>(serving_thread, serving, small_ring_capacity))
     , peers_to_serving(
           ring_to<incoming_message>(serving_thread, serving, ring_capacity))
     , serving_to_callers(
@@ -197,10 +204,9 @@
     options.self = values.node;
     options.nodes = peer_addresses(values);
     options.data_dir = values.data_dir;
-    options.record = [port = &events.port("control")](
-                         event_kind kind,
-                         std::uint64_t number,
-                         const std::string& detail)
+    options.record =
+        [port = &events.port("control")](
+            event_kind kind, std::uint64_t number, const std::string& detail)
     {
         event happened;
         happened.kind = kind;
@@ -208,19 +214,27 @@
         happened.detail = detail;
         port->record(std::move(happened));
     };
-    options.on_failure = [this](const failure&) { storage_failed = true; };
+    options.on_failure = [this](const failure&)
+    {
+        storage_failed = true;
+    };
     state_machine machine;
     machine.apply = [this](std::uint64_t index, const std::string& command)
-    { return store.apply(index, command); };
-    machine.snapshot = [this] { return store.snapshot(); };
+    {
+        return store.apply(index, command);
+    };
+    machine.snapshot = [this]
+    {
+        return store.snapshot();
+    };
     machine.restore = [this](std::uint64_t, const std::string& bytes)
     {
         if (const std::error_code error = store.restore(bytes))
             throw std::system_error(error, "cannot read a snapshot");
     };
-    machine.on_leadership = [](bool, std::uint64_t) {};
-    control =
-        make_control(std::move(options), std::move(machine), *peers);
+    machine.on_leadership = [](bool, std::uint64_t) {
+    };
+    control = make_control(std::move(options), std::move(machine), *peers);
 }
 
 void daemon_process::parts::make_serving_side()
@@ -254,7 +268,10 @@
             { return propose(to_control, std::move(wanted)); },
             make_sender(*peers, ring_capacity),
             events.port("serving"),
-            [this] { is_drained = true; }});
+            [this]
+            {
+                is_drained = true;
+            }});
 }
 
 void daemon_process::parts::make_caller_side()
@@ -265,8 +282,8 @@
     options.incarnation = incarnation;
     options.entries = [this](const account_id& account)
     {
-        return membership::entries_json(membership::order_entries(
-            serving->shown()->entries, account, {}));
+        return membership::entries_json(
+            membership::order_entries(serving->shown()->entries, account, {}));
     };
     options.entry_address_of = [this](const node_id& id)
     {
@@ -300,32 +317,40 @@
         must(read_token("--admin-token-file", values.admin_token_file));
     options.upstream_token =
         must(read_token("--upstream-token-file", values.upstream_token_file));
-    options.operate =
-        [this](
-            state::operator_request request,
-            std::function<void(state::operator_answer)> reply)
-    { desk->take(std::move(request), std::move(reply)); };
+    options.operate = [this](
+                          state::operator_request request,
+                          std::function<void(state::operator_answer)> reply)
+    {
+        desk->take(std::move(request), std::move(reply));
+    };
     options.status = [this]
     {
         return status_json(
             values, *serving->shown(), status_of(*control), tree);
     };
-    options.upstreams = [this] { return serving->shown()->upstreams; };
+    options.upstreams = [this]
+    {
+        return serving->shown()->upstreams;
+    };
     options.metrics = [this]
     {
-        return events.metrics() +
-            metrics_text(
-                   {*serving->shown(),
-                    status_of(*control),
-                    status_of(*peers),
-                    callers->http(),
-                    callers->counters(),
-                    upstreams->counters(),
-                    admin->counters()});
+        return events.metrics() + metrics_text(
+                                      {*serving->shown(),
+                                       status_of(*control),
+                                       status_of(*peers),
+                                       callers->http(),
+                                       callers->counters(),
+                                       upstreams->counters(),
+                                       admin->counters()});
     };
     options.timeline = [this](const observe::timeline_query& query)
-    { return events.timeline(query); };
-    options.ready = [this] { return serving->shown()->ready; };
+    {
+        return events.timeline(query);
+    };
+    options.ready = [this]
+    {
+        return serving->shown()->ready;
+    };
     admin = std::make_unique<admin_duty>(
         admin_thread.loop(), admin_to_serving, std::move(options));
 }
@@ -341,7 +366,10 @@
             *values.cloud,
             values.node,
             values.domain,
-            [this](time_point deadline) { drain(deadline); }});
+            [this](time_point deadline)
+            {
+                drain(deadline);
+            }});
 }
 
 void daemon_process::parts::start()
@@ -362,8 +390,7 @@
 void daemon_process::parts::drain(std::optional<time_point> deadline)
 {
     boost::asio::post(
-        serving_thread.loop(),
-        [this, deadline] { serving->drain(deadline); });
+        serving_thread.loop(), [this, deadline] { serving->drain(deadline); });
 }
 
 daemon_process::daemon_process(const settings& values)
@@ -389,8 +416,7 @@
 
 bool daemon_process::unhealthy() const
 {
-    return parts_->storage_failed ||
-        parts_->tree.check(now()) != health::good;
+    return parts_->storage_failed || parts_->tree.check(now()) != health::good;
 }
 
 void daemon_process::stop()
--- a/src/daemon/operator_desk.cpp
+++ b/src/daemon/operator_desk.cpp
@@ -26,13 +26,12 @@
 {
 }
 
-void operator_desk::take(
-    state::operator_request request, reply_function reply)
+void operator_desk::take(state::operator_request request, reply_function reply)
 {
     if (request.method == "GET")
         return send({std::move(request), std::move(reply), std::nullopt});
-    auto decision = store_.read(
-        [&](const auto& state) { return state::decide(request, state); });
+    auto decision = store_.read([&](const auto& state)
+                                { return state::decide(request, state); });
     if (auto* answer = std::get_if<state::operator_answer>(&decision))
         return reply(std::move(*answer));
     send(
--- a/src/daemon/operator_desk.hpp
+++ b/src/daemon/operator_desk.hpp
@@ -49,8 +49,8 @@
 
     void send(waiting_request one);
     void answer_reads();
-    void answer_change(
-        const waiting_request& one, const proposal_answer& answer);
+    void
+    answer_change(const waiting_request& one, const proposal_answer& answer);
     state::operator_answer
     read_now(const state::operator_request& request) const;
 
--- a/src/daemon/process_report.cpp
+++ b/src/daemon/process_report.cpp
@@ -33,7 +33,7 @@
         {"learners", names_of(control.members.learners)}};
     if (control.failed)
         result["failed"] = std::string(answer_of(control.failed->kind).name) +
-            ": " + control.failed->detail;
+                           ": " + control.failed->detail;
     return result;
 }
 
--- a/src/daemon/serving_duty.cpp
+++ b/src/daemon/serving_duty.cpp
@@ -174,8 +174,7 @@
             wire::hand_over,
             wire::encode(given->state));
     else if (const auto* reply = std::get_if<hand_over_reply>(&action))
-        send_peer(
-            duty, reply->to, wire::hand_over_reply, wire::encode(*reply));
+        send_peer(duty, reply->to, wire::hand_over_reply, wire::encode(*reply));
     else if (const auto* crash = std::get_if<report_crash>(&action))
         send_all_peers(duty, wire::crash_report, wire::encode(*crash));
     else
@@ -292,8 +291,7 @@
 
 // Feeds a decoded message; one that cannot be read is dropped.
 template<class Input>
-void feed_decoded(
-    duty_state& duty, const std::variant<Input, failure>& decoded)
+void feed_decoded(duty_state& duty, const std::variant<Input, failure>& decoded)
 {
     if (const auto* input = std::get_if<Input>(&decoded))
         feed(duty, *input);
--- a/src/daemon/upstreams_duty.cpp
+++ b/src/daemon/upstreams_duty.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <sstream>
@@ -188,7 +189,8 @@
     {
         parser_.emplace();
         parser_->header_limit(duty_->options.header_bytes);
-        parser_->body_limit(boost::none);
+        // Streams are as long as they are; whole answers are limited below.
+        parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
         stream_->expires_after(wanted_.silence_limit);
         http::async_read_header(
             *stream_,
--- a/src/wire/serving_codec.cpp
+++ b/src/wire/serving_codec.cpp
@@ -118,7 +118,7 @@
     return state;
 }
 
-std::string encode(const hand_over_reply& reply)
+std::string encode(const bergamotusher::hand_over_reply& reply)
 {
     hand_over_answer message;
     message.set_request(reply.request.value);
--- a/src/wire/serving_codec.hpp
+++ b/src/wire/serving_codec.hpp
@@ -20,7 +20,7 @@
 decode_handed_over(std::string_view bytes, const node_id& from);
 
 /// The bytes of a `hand_over_answer`.
-std::string encode(const hand_over_reply& reply);
+std::string encode(const bergamotusher::hand_over_reply& reply);
 
 /// Reads what `encode` wrote. Errors: `malformed_message`.
 std::variant<hand_over_answered, failure>
--- a/tests/harness/caller.cpp
+++ b/tests/harness/caller.cpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <chrono>
+#include <limits>
 #include <memory>
 #include <optional>
 
@@ -74,7 +75,7 @@
 
     void read_head()
     {
-        parser_.body_limit(boost::none);
+        parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
         http::async_read_header(
             stream_,
             buffer_,
--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -252,6 +252,7 @@
 {
     const std::string idempotency_key = "put-" + std::to_string(++next_key_);
     std::uint64_t revision = 0;
+    std::string last;
     const auto accepted = [&]
     {
         for (unsigned i = 0; i < nodes_; ++i)
@@ -266,6 +267,7 @@
                 {{"If-Match", std::to_string(revision)},
                  {"Idempotency-Key",
                   idempotency_key + "-" + std::to_string(revision)}});
+            last = std::to_string(answer.status) + " " + answer.body;
             const json value = json::parse(answer.body, nullptr, false);
             if (value.is_object() && value.contains("revision"))
                 revision = value["revision"].get<std::uint64_t>();
@@ -277,7 +279,7 @@
         return false;
     };
     if (!wait_until(accepted))
-        throw std::runtime_error("no quorum accepts " + path);
+        throw std::runtime_error("not accepted: " + path + ": " + last);
     return revision;
 }
 
--- a/tests/process/serving_test.cpp
+++ b/tests/process/serving_test.cpp
@@ -26,8 +26,8 @@
     CHECK(answer.event_ids == ids);
 }
 
-caller_answer place_order(
-    cluster& system, unsigned entry, const std::string& key, int number)
+caller_answer
+place_order(cluster& system, unsigned entry, const std::string& key, int number)
 {
     caller_call what;
     what.address = system.entry(entry);
@@ -90,23 +90,23 @@
     SECTION("a question that crashes no one survives the engine's death")
     {
         std::string killed;
-        const auto answer = ask(
-            {system.entry(0)},
-            cluster::key,
-            "a long question",
-            60,
-            [&](const caller_answer& so_far)
-            {
-                if (so_far.texts.size() == 20 && killed.empty())
+        const auto answer =
+            ask({system.entry(0)},
+                cluster::key,
+                "a long question",
+                60,
+                [&](const caller_answer& so_far)
                 {
-                    killed = engine_of(
-                        system,
-                        0,
-                        so_far.headers.at("Bergamotusher-Request-Id"));
-                    system.upstream(killed).kill();
-                }
-                return true;
-            });
+                    if (so_far.texts.size() == 20 && killed.empty())
+                    {
+                        killed = engine_of(
+                            system,
+                            0,
+                            so_far.headers.at("Bergamotusher-Request-Id"));
+                        system.upstream(killed).kill();
+                    }
+                    return true;
+                });
         CHECK(!killed.empty());
         check_whole(answer, 60);
     }
@@ -143,8 +143,7 @@
         check_whole(own, 5);
         const std::string path =
             "/v1/requests/" + own.headers.at("Bergamotusher-Request-Id");
-        CHECK(
-            call({system.entry(0), "GET", path, cluster::key}).status == 200);
+        CHECK(call({system.entry(0), "GET", path, cluster::key}).status == 200);
         const auto foreign =
             call({system.entry(0), "GET", path, cluster::other_key});
         CHECK(foreign.status == 404);
@@ -160,39 +159,39 @@
 
     SECTION("by a signal, with a stream in flight")
     {
-        const auto answer = ask(
-            system.entries(0),
-            cluster::key,
-            "a slow question",
-            50,
-            [&](const caller_answer& so_far)
-            {
-                if (so_far.texts.size() == 5 && !told)
+        const auto answer =
+            ask(system.entries(0),
+                cluster::key,
+                "a slow question",
+                50,
+                [&](const caller_answer& so_far)
                 {
-                    told = true;
-                    system.node(0).send(SIGTERM);
-                }
-                return true;
-            });
+                    if (so_far.texts.size() == 5 && !told)
+                    {
+                        told = true;
+                        system.node(0).send(SIGTERM);
+                    }
+                    return true;
+                });
         check_whole(answer, 50);
         CHECK(system.node(0).wait(20) == 0);
     }
     SECTION("by the platform's notice, with a stream that outlasts it")
     {
-        const auto answer = ask(
-            system.entries(0),
-            cluster::key,
-            "a very slow question",
-            300,
-            [&](const caller_answer& so_far)
-            {
-                if (so_far.texts.size() == 5 && !told)
+        const auto answer =
+            ask(system.entries(0),
+                cluster::key,
+                "a very slow question",
+                300,
+                [&](const caller_answer& so_far)
                 {
-                    told = true;
-                    system.give_notice("node-1", "", 8);
-                }
-                return true;
-            });
+                    if (so_far.texts.size() == 5 && !told)
+                    {
+                        told = true;
+                        system.give_notice("node-1", "", 8);
+                    }
+                    return true;
+                });
         check_whole(answer, 300);
         CHECK(system.node(0).wait(20) == 0);
     }
@@ -204,7 +203,7 @@
             const auto answer =
                 call({system.entry(1), "GET", "/v1/entries", cluster::key});
             return answer.status == 200 &&
-                answer.body.find(system.entry(0)) == std::string::npos;
+                   answer.body.find(system.entry(0)) == std::string::npos;
         };
         CHECK(cluster::wait_until(left, 3));
         const auto still =
--- a/tools/demo/demo.cpp
+++ b/tools/demo/demo.cpp
@@ -33,7 +33,7 @@
 bool whole(const caller_answer& answer, unsigned tokens)
 {
     return answer.done && answer.error.empty() &&
-        joined(answer) == expected_text(tokens);
+           joined(answer) == expected_text(tokens);
 }
 
 // The engine that runs the request's newest attempt.
@@ -87,21 +87,21 @@
 {
     say("\nThe engine that answers is killed after 30 of 120 tokens:");
     std::string killed;
-    const auto answer = ask(
-        {system.entry(1)},
-        cluster::key,
-        "a long question",
-        long_answer,
-        [&](const caller_answer& so_far)
-        {
-            if (so_far.texts.size() == 30 && killed.empty())
+    const auto answer =
+        ask({system.entry(1)},
+            cluster::key,
+            "a long question",
+            long_answer,
+            [&](const caller_answer& so_far)
             {
-                killed = engine_of(system, 1, id_of(so_far));
-                say("  killed  " + killed);
-                system.upstream(killed).kill();
-            }
-            return true;
-        });
+                if (so_far.texts.size() == 30 && killed.empty())
+                {
+                    killed = engine_of(system, 1, id_of(so_far));
+                    say("  killed  " + killed);
+                    system.upstream(killed).kill();
+                }
+                return true;
+            });
     show(
         whole(answer, long_answer),
         "the caller got all 120 tokens, each once and in order");
@@ -111,23 +111,23 @@
 {
     say("\nThe platform reclaims the entry that holds a long stream:");
     bool told = false;
-    const auto answer = ask(
-        system.entries(0),
-        cluster::key,
-        "the longest question",
-        longest_answer,
-        [&](const caller_answer& so_far)
-        {
-            if (so_far.texts.size() == 10 && !told)
+    const auto answer =
+        ask(system.entries(0),
+            cluster::key,
+            "the longest question",
+            longest_answer,
+            [&](const caller_answer& so_far)
             {
-                told = true;
-                system.give_notice("node-1", "", notice_seconds);
-                say("  notice  node-1 has 8 s left");
-            }
-            if (!so_far.moved_to.empty())
-                say("  moved   the caller goes on at " + so_far.moved_to);
-            return true;
-        });
+                if (so_far.texts.size() == 10 && !told)
+                {
+                    told = true;
+                    system.give_notice("node-1", "", notice_seconds);
+                    say("  notice  node-1 has 8 s left");
+                }
+                if (!so_far.moved_to.empty())
+                    say("  moved   the caller goes on at " + so_far.moved_to);
+                return true;
+            });
     show(
         whole(answer, longest_answer),
         "the caller got all 400 tokens, each once and in order");
@@ -140,7 +140,8 @@
     std::string admins;
     for (unsigned i = 1; i < 4; ++i)
         admins += (i == 1 ? "" : ",") + system.admin(i);
-    std::cout << system.run_ctl({"timeline", "--admin", admins, "--limit", "60"})
+    std::cout << system.run_ctl(
+                     {"timeline", "--admin", admins, "--limit", "60"})
               << std::endl;
 }
 
