--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -117,7 +117,7 @@
         nodes.begin(),
         nodes.end(),
         [](const candidate_member& a, const candidate_member& b)
-        { return a.id < b.id; });
+        { return a.id.value < b.id.value; });
     membership members;
     std::set<failure_domain> domains;
     for (const candidate_member& node : nodes)
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -41,8 +41,8 @@
 /// Bounds on what a replica holds and sends.
 struct limits
 {
-    std::size_t append_bytes = 256 * 1024;
-    std::size_t chunk_bytes = 64 * 1024;
+    std::size_t append_bytes = std::size_t{256} * 1024;
+    std::size_t chunk_bytes = std::size_t{64} * 1024;
     /// Append requests with entries in flight to one follower.
     std::size_t in_flight = 8;
     /// Uncommitted entries beyond which proposals are refused.
--- a/src/daemon/peers_duty.cpp
+++ b/src/daemon/peers_duty.cpp
@@ -26,7 +26,7 @@
 /// a partition does not wait for the kernel's timeouts when it ends.
 constexpr int ping_interval_ms = 2000;
 constexpr int ping_timeout_ms = 4000;
-constexpr std::int64_t message_bytes_max = 8 * 1024 * 1024;
+constexpr std::int64_t message_bytes_max = std::int64_t{8} * 1024 * 1024;
 /// Messages taken from the network before the senders get their turn.
 constexpr int receive_burst = 256;
 constexpr std::size_t z85_key_size = 40;
@@ -411,9 +411,9 @@
     duty.gatekeeper.close();
 }
 
-bool send(peers_sender& sender, outgoing_message&& message)
+bool send(peers_sender& sender, const outgoing_message& message)
 {
-    if (!sender.ring.push(std::move(message)))
+    if (!sender.ring.push(message))
     {
         sender.duty.dropped_ring_full.fetch_add(1, std::memory_order_relaxed);
         return false;
--- a/src/daemon/peers_duty.hpp
+++ b/src/daemon/peers_duty.hpp
@@ -146,7 +146,7 @@
 void stop(peers_duty& duty);
 
 /// Hands a message over; false, and counted, if the ring is full.
-bool send(peers_sender& sender, outgoing_message&& message);
+bool send(peers_sender& sender, const outgoing_message& message);
 
 /// May be called from any thread.
 peers_status status_of(const peers_duty& duty);
--- a/src/daemon/storage_duty.cpp
+++ b/src/daemon/storage_duty.cpp
@@ -24,7 +24,7 @@
     report.failed = store(duty.storage, batch);
     report.syncs = duty.storage.syncs;
     report.written_bytes = duty.storage.written_bytes;
-    duty.report(std::move(report));
+    duty.report(report);
 }
 
 } // namespace
@@ -32,7 +32,7 @@
 storage_duty::storage_duty(
     consensus::log_storage opened,
     std::size_t capacity,
-    std::function<void(storage_report&&)> report_to)
+    std::function<void(const storage_report&)> report_to)
     : storage(std::move(opened))
     , report(std::move(report_to))
     , inbox(
--- a/src/daemon/storage_duty.hpp
+++ b/src/daemon/storage_duty.hpp
@@ -23,6 +23,8 @@
 {
     /// Everything up to this token is synced, if `failed` is empty.
     std::uint64_t token = 0;
+    /// Tells reports of an earlier start apart.
+    std::uint64_t generation = 0;
     std::optional<failure> failed;
     std::uint64_t syncs = 0;
     std::uint64_t written_bytes = 0;
--- /dev/null
+++ b/tests/control/control_duty_test.cpp
@@ -0,0 +1,147 @@
+#include "control/local_cluster.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace local_cluster;
+
+namespace
+{
+
+bool wait_until_applied(cluster& all, std::size_t index, std::size_t count)
+{
+    observed& seen = all.members[index]->seen;
+    return wait_for(seen, 5s, [&] { return seen.applied.size() == count; });
+}
+
+bool wait_for_lease(cluster& all, std::size_t index)
+{
+    observed& seen = all.members[index]->seen;
+    return wait_for(seen, 5s, [&] { return seen.configuration_until > now(); });
+}
+
+void start_all(cluster& all)
+{
+    for (std::size_t i = 0; i < all.nodes.size(); ++i)
+        start_member(all, i);
+}
+
+} // namespace
+
+TEST_CASE("four nodes commit what is proposed at any of them")
+{
+    cluster all;
+    make_nodes(all, 4);
+    start_all(all);
+    const std::size_t leader = wait_for_leader(all);
+
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        const std::string command = "from " + std::to_string(i);
+        const auto answer = propose_and_wait(*all.members[i], 1, command);
+        CHECK(answer.outcome == proposal_outcome::committed);
+        CHECK(answer.result == "done " + command);
+        CHECK(answer.index > 0);
+    }
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        CHECK(wait_until_applied(all, i, 4));
+        CHECK(wait_for_lease(all, i));
+    }
+
+    SECTION("the leader dies: the others go on, and it comes back")
+    {
+        const fence old = *order_fence(*all.members[leader]->control, now());
+        stop_member(all, leader);
+        const std::size_t next = wait_for_leader(all);
+        CHECK(*order_fence(*all.members[next]->control, now()) > old);
+        const std::size_t other = next == 0 || leader == 0 ? 3 : 0;
+        const auto answer = propose_and_wait(*all.members[next], 2, "after");
+        CHECK(answer.outcome == proposal_outcome::committed);
+        if (all.members[other])
+            CHECK(wait_until_applied(all, other, 5));
+        start_member(all, leader);
+        CHECK(wait_until_applied(all, leader, 5));
+        CHECK(wait_for_lease(all, leader));
+    }
+    stop_all(all);
+}
+
+TEST_CASE("without a quorum nothing is claimed that is not certain")
+{
+    cluster all;
+    make_nodes(all, 3);
+    start_all(all);
+    const std::size_t leader = wait_for_leader(all);
+    const std::size_t one = (leader + 1) % 3;
+    const std::size_t two = (leader + 2) % 3;
+    REQUIRE(wait_for_lease(all, one));
+    stop_member(all, leader);
+    stop_member(all, two);
+    observed& seen = all.members[one]->seen;
+
+    SECTION("a proposal is answered once, and not as committed")
+    {
+        const auto answer =
+            propose_and_wait(*all.members[one], 1, "lost", 800ms);
+        CHECK(answer.outcome != proposal_outcome::committed);
+        CHECK(seen.answered == 1);
+    }
+    SECTION("the configuration lease lapses")
+    {
+        CHECK(wait_for(
+            seen, 5s, [&] { return seen.configuration_until < now(); }));
+    }
+    SECTION("one that never found a leader was certainly not committed")
+    {
+        REQUIRE(wait_for(
+            seen,
+            5s,
+            [&]
+            { return status_of(*all.members[one]->control).leader.empty(); }));
+        const auto answer =
+            propose_and_wait(*all.members[one], 2, "held", 100ms);
+        CHECK(answer.outcome == proposal_outcome::not_committed);
+    }
+    stop_all(all);
+}
+
+TEST_CASE("a node that was away is brought up by a snapshot")
+{
+    cluster all;
+    all.snapshot_every = 50;
+    make_nodes(all, 3);
+    start_all(all);
+    const std::size_t leader = wait_for_leader(all);
+    const std::size_t away = (leader + 1) % 3;
+    stop_member(all, away);
+    for (std::uint64_t i = 1; i <= 600; ++i)
+        propose(
+            *all.members[leader]->proposer,
+            {i, "c" + std::to_string(i), now() + 10s});
+    REQUIRE(wait_until_applied(all, leader, 600));
+    start_member(all, away);
+    CHECK(wait_until_applied(all, away, 600));
+    CHECK(status_of(*all.members[away]->control).snapshots_installed == 1);
+    stop_all(all);
+}
+
+TEST_CASE("a replica is ready in under a second after 1,000 changes")
+{
+    cluster all;
+    all.snapshot_every = 1'000'000;
+    make_nodes(all, 3);
+    start_all(all);
+    const std::size_t leader = wait_for_leader(all);
+    for (std::uint64_t i = 1; i <= 1000; ++i)
+        propose(
+            *all.members[leader]->proposer,
+            {i, "c" + std::to_string(i), now() + 10s});
+    const std::size_t again = (leader + 1) % 3;
+    REQUIRE(wait_until_applied(all, again, 1000));
+    stop_member(all, again);
+    const time_point began = now();
+    start_member(all, again);
+    REQUIRE(wait_until_applied(all, again, 1000));
+    CHECK(now() - began < 1s);
+    stop_all(all);
+}
--- /dev/null
+++ b/tests/control/local_cluster.hpp
@@ -0,0 +1,290 @@
+// Control duties of several nodes in one process, over loopback and real
+// files, with short times. Used by the tests and by the bench.
+#pragma once
+
+#include "daemon/control_duty.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdlib>
+#include <filesystem>
+#include <map>
+#include <mutex>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace local_cluster
+{
+
+using namespace bergamotusher;
+
+/// A folder that is removed at the end.
+struct temporary_folder
+{
+    temporary_folder()
+    {
+        std::string made = std::filesystem::temp_directory_path().string() +
+                           "/bergamotusher-XXXXXX";
+        if (::mkdtemp(made.data()) == nullptr)
+            throw std::runtime_error("cannot make a temporary folder");
+        path = made;
+    }
+    ~temporary_folder()
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(path, ignored);
+    }
+    temporary_folder(const temporary_folder&) = delete;
+    temporary_folder& operator=(const temporary_folder&) = delete;
+
+    std::string path;
+};
+
+/// What the threads of a node tell; guarded by `mutex`.
+struct observed
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<std::string> applied;
+    std::map<std::uint64_t, proposal_answer> answers;
+    std::size_t answered = 0;
+    time_point configuration_until;
+    bool leads = false;
+};
+
+struct member
+{
+    observed seen;
+    peers_handle peers;
+    control_handle control;
+    bergamotusher::proposer* proposer = nullptr;
+};
+
+inline std::string free_address()
+{
+    namespace ip = boost::asio::ip;
+    boost::asio::io_context loop;
+    ip::tcp::acceptor acceptor(
+        loop, ip::tcp::endpoint(ip::address_v4::loopback(), 0));
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+inline time_point now()
+{
+    return std::chrono::time_point_cast<duration>(
+        std::chrono::steady_clock::now());
+}
+
+inline consensus::timing short_timing()
+{
+    return {
+        .heartbeat = 20ms,
+        .election_min = 200ms,
+        .election_max = 400ms,
+        .lease = 150ms,
+        .clock_drift = 0.05,
+        .voter_lost_after = 600ms};
+}
+
+struct cluster
+{
+    temporary_folder folder;
+    std::vector<peer_address> nodes;
+    std::vector<std::unique_ptr<member>> members;
+    consensus::timing timing = short_timing();
+    std::uint64_t snapshot_every = 1000;
+    duration configuration_lease = 600ms;
+    std::uint64_t starts = 0;
+};
+
+/// A state machine that keeps the commands; a command's result is itself with
+/// "done " before.
+inline state_machine list_machine(observed& seen)
+{
+    state_machine machine;
+    machine.apply = [&seen](std::uint64_t, const std::string& command)
+    {
+        const std::lock_guard lock(seen.mutex);
+        seen.applied.push_back(command);
+        seen.changed.notify_all();
+        return "done " + command;
+    };
+    machine.snapshot = [&seen]
+    {
+        const std::lock_guard lock(seen.mutex);
+        std::string bytes;
+        for (const std::string& command : seen.applied)
+            bytes += command + '\n';
+        return bytes;
+    };
+    machine.restore = [&seen](std::uint64_t, const std::string& bytes)
+    {
+        const std::lock_guard lock(seen.mutex);
+        seen.applied.clear();
+        std::size_t begin = 0;
+        for (std::size_t end = bytes.find('\n'); end != std::string::npos;
+             end = bytes.find('\n', begin))
+        {
+            seen.applied.push_back(bytes.substr(begin, end - begin));
+            begin = end + 1;
+        }
+        seen.changed.notify_all();
+    };
+    machine.on_leadership = [&seen](bool leads, std::uint64_t)
+    {
+        const std::lock_guard lock(seen.mutex);
+        seen.leads = leads;
+        seen.changed.notify_all();
+    };
+    return machine;
+}
+
+inline void take_news(observed& seen, control_news&& news)
+{
+    const std::lock_guard lock(seen.mutex);
+    if (auto* answer = std::get_if<proposal_answer>(&news))
+    {
+        ++seen.answered;
+        seen.answers[answer->ticket] = std::move(*answer);
+    }
+    else if (const auto* lease = std::get_if<configuration_lease>(&news))
+        seen.configuration_until = lease->valid_until;
+    seen.changed.notify_all();
+}
+
+inline std::string data_dir(const cluster& all, std::size_t index)
+{
+    return all.folder.path + "/" + all.nodes[index].id.value;
+}
+
+inline peers_options peers_options_of(cluster& all, std::size_t index)
+{
+    peers_options options;
+    options.self = all.nodes[index].id;
+    options.incarnation = ++all.starts;
+    options.address = all.nodes[index].address;
+    options.peers = all.nodes;
+    return options;
+}
+
+inline control_options control_options_of(const cluster& all, std::size_t index)
+{
+    control_options options;
+    options.self = all.nodes[index].id;
+    options.nodes = all.nodes;
+    options.data_dir = data_dir(all, index);
+    options.timing = all.timing;
+    options.snapshot_every = all.snapshot_every;
+    options.configuration_lease = all.configuration_lease;
+    options.confirm_every = all.configuration_lease / 4;
+    return options;
+}
+
+/// Starts a node; throws what failed.
+inline void start_member(
+    cluster& all,
+    std::size_t index,
+    const std::function<void(peers_options&, control_options&)>& adjust = {})
+{
+    auto made = std::make_unique<member>();
+    peers_options peers = peers_options_of(all, index);
+    control_options control = control_options_of(all, index);
+    if (adjust)
+        adjust(peers, control);
+    made->peers = make_peers(std::move(peers));
+    made->control = make_control(
+        std::move(control), list_machine(made->seen), *made->peers);
+    constexpr std::size_t ring = 4096;
+    made->proposer = &make_proposer(
+        *made->control,
+        ring,
+        [&seen = made->seen](control_news&& news)
+        { take_news(seen, std::move(news)); });
+    for (auto failed : {start(*made->control), start(*made->peers)})
+        if (failed)
+            throw std::runtime_error(failed->detail);
+    all.members[index] = std::move(made);
+}
+
+/// Ends a node; its files stay.
+inline void stop_member(cluster& all, std::size_t index)
+{
+    member& ended = *all.members[index];
+    stop(*ended.peers);
+    stop(*ended.control);
+    ended.control.reset();
+    all.members[index].reset();
+}
+
+inline void make_nodes(cluster& all, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const std::string id = "n" + std::to_string(i);
+        all.nodes.push_back({{id}, free_address(), {"domain of " + id}});
+    }
+    all.members.resize(count);
+}
+
+inline void stop_all(cluster& all)
+{
+    for (std::size_t i = 0; i < all.members.size(); ++i)
+        if (all.members[i])
+            stop_member(all, i);
+}
+
+/// Waits until `done`, which is asked again after each change at the node.
+template<class Done>
+bool wait_for(observed& seen, duration limit, Done done)
+{
+    constexpr auto step = std::chrono::milliseconds(5);
+    const time_point end = now() + limit;
+    std::unique_lock lock(seen.mutex);
+    while (!done())
+    {
+        if (now() >= end)
+            return false;
+        seen.changed.wait_for(lock, step);
+    }
+    return true;
+}
+
+/// The node that may give orders; waits for one.
+inline std::size_t wait_for_leader(cluster& all, duration limit = 10s)
+{
+    std::size_t leader = 0;
+    observed any;
+    const bool found = wait_for(
+        any,
+        limit,
+        [&]
+        {
+            for (leader = 0; leader < all.members.size(); ++leader)
+                if (all.members[leader] &&
+                    order_fence(*all.members[leader]->control, now()))
+                    return true;
+            return false;
+        });
+    if (!found)
+        throw std::runtime_error("no leader");
+    return leader;
+}
+
+/// Proposes and waits for the answer.
+inline proposal_answer propose_and_wait(
+    member& at, std::uint64_t ticket, std::string command, duration limit = 5s)
+{
+    propose(*at.proposer, {ticket, std::move(command), now() + limit});
+    const bool answered = wait_for(
+        at.seen, limit + 1s, [&] { return at.seen.answers.count(ticket) > 0; });
+    if (!answered)
+        throw std::runtime_error("a proposal was never answered");
+    const std::lock_guard lock(at.seen.mutex);
+    return at.seen.answers[ticket];
+}
+
+} // namespace local_cluster
