--- a/tests/consensus/replica_test.cpp
+++ b/tests/consensus/replica_test.cpp
@@ -246,3 +246,21 @@
     REQUIRE(leader_of(net));
     CHECK(*leader_of(net) != leader);
 }
+
+TEST_CASE("a voter that restarts still keeps the lease it helped to give")
+{
+    network net = started(3);
+    const std::size_t leader = elected(net);
+    const std::size_t candidate = (leader + 1) % 3;
+    const std::size_t voter = (leader + 2) % 3;
+    cut_link(net, leader, candidate, true);
+    // The candidate asks again and again; the voter has just heard the leader.
+    for (int i = 0; i < 40; ++i)
+    {
+        run(net, 100ms);
+        kill_node(net, voter);
+        start_node(net, voter);
+    }
+    run(net, 3s);
+    CHECK(net.nodes[leader].core.role == role::leader);
+}
--- a/tests/consensus/safety_test.cpp
+++ b/tests/consensus/safety_test.cpp
@@ -19,6 +19,7 @@
     freeze,
     thaw,
     cut,
+    cut_link,
     heal,
     lossy,
     reliable,
@@ -35,13 +36,14 @@
 {
     fault kind = fault::propose;
     std::size_t target = 0;
+    std::size_t other = 0;
     int pause_ms = 0;
 };
 
 std::ostream& operator<<(std::ostream& out, const happening& one)
 {
     return out << "{" << static_cast<int>(one.kind) << ", " << one.target
-               << ", " << one.pause_ms << "}";
+               << ", " << one.other << ", " << one.pause_ms << "}";
 }
 
 rc::Gen<happening> any_happening(std::size_t nodes)
@@ -54,7 +56,12 @@
                 [](int value) { return static_cast<fault>(value); })),
         rc::gen::set(
             &happening::target, rc::gen::inRange<std::size_t>(0, nodes)),
-        rc::gen::set(&happening::pause_ms, rc::gen::inRange(5, 1500)));
+        rc::gen::set(
+            &happening::other, rc::gen::inRange<std::size_t>(0, nodes)),
+        rc::gen::set(
+            &happening::pause_ms,
+            rc::gen::oneOf(
+                rc::gen::inRange(5, 60), rc::gen::inRange(60, 2500))));
 }
 
 /// A change of a random member, proposed to whoever leads.
@@ -106,8 +113,13 @@
     case fault::cut:
         net.group[one.target] = static_cast<int>(one.target % 2) + 1;
         return;
+    case fault::cut_link:
+        if (one.target != one.other)
+            cut_link(net, one.target, one.other, true);
+        return;
     case fault::heal:
         net.group.assign(net.nodes.size(), 0);
+        net.cut_links.clear();
         return;
     case fault::lossy:
         net.drop = 0.2;
@@ -152,21 +164,26 @@
 /// Ends every fault; the cluster must then commit again.
 void mend_all(network& net)
 {
-    happen(net, {fault::heal, 0, 0});
-    happen(net, {fault::reliable, 0, 0});
+    happen(net, {fault::heal, 0, 0, 0});
+    happen(net, {fault::reliable, 0, 0, 0});
     for (std::size_t i = 0; i < net.nodes.size(); ++i)
     {
-        happen(net, {fault::mend_disk, i, 0});
+        happen(net, {fault::mend_disk, i, 0, 0});
         start_again(net, i);
     }
 }
 
-void check_run(std::size_t nodes, std::uint64_t seed)
+/// Stories of so many happenings, so that faults meet.
+constexpr std::size_t story_length = 40;
+/// Each story is told with so many seeds of the network.
+constexpr std::uint64_t seeds_per_story = 5;
+
+using story = std::vector<happening>;
+
+void check_story(std::size_t nodes, std::uint64_t seed, const story& told)
 {
     network net = new_cluster(nodes, seed);
-    const auto story =
-        *rc::gen::container<std::vector<happening>>(any_happening(nodes));
-    for (const happening& one : story)
+    for (const happening& one : told)
     {
         happen(net, one);
         run(net, one.pause_ms * 1ms);
@@ -181,17 +198,25 @@
     check_log_matching(net);
 }
 
+void check_stories(std::size_t nodes, std::uint64_t seed)
+{
+    const auto told =
+        *rc::gen::container<story>(story_length, any_happening(nodes));
+    for (std::uint64_t i = 0; i < seeds_per_story; ++i)
+        check_story(nodes, seed + i, told);
+}
+
 } // namespace
 
 TEST_CASE("random faults break no safety property, and once they end commits "
           "go on")
 {
     CHECK(rc::check(
-        "three nodes", [](std::uint64_t seed) { check_run(3, seed); }));
+        "three nodes", [](std::uint64_t seed) { check_stories(3, seed); }));
     CHECK(rc::check(
-        "four nodes", [](std::uint64_t seed) { check_run(4, seed); }));
+        "four nodes", [](std::uint64_t seed) { check_stories(4, seed); }));
     CHECK(rc::check(
-        "five nodes", [](std::uint64_t seed) { check_run(5, seed); }));
+        "five nodes", [](std::uint64_t seed) { check_stories(5, seed); }));
 }
 
 TEST_CASE("one lost disk among random faults loses nothing committed")
@@ -205,8 +230,8 @@
             run(net, 1s);
             const std::size_t victim = net.random() % 4;
             if (while_cut)
-                happen(net, {fault::cut, net.random() % 4, 0});
-            happen(net, {fault::lossy, 0, 0});
+                happen(net, {fault::cut, net.random() % 4, 0, 0});
+            happen(net, {fault::lossy, 0, 0, 0});
             lose_disk(net, victim);
             run(net, 10s);
             mend_all(net);
--- a/tests/consensus/virtual_network.cpp
+++ b/tests/consensus/virtual_network.cpp
@@ -1,5 +1,6 @@
 #include "consensus/virtual_network.hpp"
 
+#include <algorithm>
 #include <functional>
 
 namespace virtual_network
@@ -201,6 +202,12 @@
         throw violation("two lease holders at once");
 }
 
+bool reaches(const network& net, std::size_t a, std::size_t b)
+{
+    return net.group[a] == net.group[b] &&
+           net.cut_links.count(std::minmax(a, b)) == 0;
+}
+
 void deliver_due(network& net)
 {
     while (!net.messages.empty() && net.messages.begin()->first <= net.now)
@@ -208,7 +215,7 @@
         const in_flight due = net.messages.begin()->second;
         net.messages.erase(net.messages.begin());
         node& to = net.nodes[due.to];
-        if (!to.running || net.group[due.from] != net.group[due.to])
+        if (!to.running || !reaches(net, due.from, due.to))
             continue;
         if (to.frozen)
             net.messages.emplace(net.now + 20ms, due);
@@ -295,6 +302,14 @@
     start_node(net, index);
 }
 
+void cut_link(network& net, std::size_t a, std::size_t b, bool down)
+{
+    if (down)
+        net.cut_links.insert(std::minmax(a, b));
+    else
+        net.cut_links.erase(std::minmax(a, b));
+}
+
 actions give(network& net, std::size_t index, const input& input)
 {
     node& node = net.nodes[index];
--- a/tests/consensus/virtual_network.hpp
+++ b/tests/consensus/virtual_network.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -67,6 +68,8 @@
     std::multimap<time_point, in_flight> messages;
     /// Nodes in different groups do not reach each other.
     std::vector<int> group;
+    /// Pairs, lower first, whose link is down.
+    std::set<std::pair<std::size_t, std::size_t>> cut_links;
     double drop = 0;
     double duplicate = 0;
     duration delay_max = 5ms;
@@ -92,6 +95,9 @@
 /// Kills, and starts with an empty folder.
 void lose_disk(network& net, std::size_t index);
 
+/// Takes the link between two nodes down, or up again.
+void cut_link(network& net, std::size_t a, std::size_t b, bool down);
+
 /// Lets `span` of real time pass.
 void run(network& net, duration span);
 /// Runs until a leader may give orders; false if none did within `limit`.
