--- a/src/daemon/storage_duty.hpp
+++ b/src/daemon/storage_duty.hpp
@@ -23,6 +23,8 @@
 {
     /// Everything up to this token is synced, if `failed` is empty.
     std::uint64_t token = 0;
+    /// Tells reports of an earlier start apart.
+    std::uint64_t generation = 0;
     std::optional<failure> failed;
     std::uint64_t syncs = 0;
     std::uint64_t written_bytes = 0;
@@ -34,10 +36,10 @@
     storage_duty(
         consensus::log_storage opened,
         std::size_t capacity,
-        std::function<void(storage_report&&)> report_to);
+        std::function<void(const storage_report&)> report_to);
 
     consensus::log_storage storage;
-    std::function<void(storage_report&&)> report;
+    std::function<void(const storage_report&)> report;
     boost::asio::io_context loop{1};
     mailbox<consensus::storage_write> inbox;
     std::vector<consensus::storage_write> batch;
