--- /dev/null
+++ b/src/admission/budget.cpp
@@ -0,0 +1,143 @@
+#include "admission/budget.hpp"
+
+#include <algorithm>
+
+namespace bergamotusher::admission
+{
+
+namespace
+{
+
+constexpr double leased_part = 1 - guaranteed_part;
+/// Asked for beyond the demand seen, so that growth finds room.
+constexpr double demand_headroom = 1.25;
+
+/// The share that this entry may use now, leased and guaranteed.
+double
+usable_share(const account_budget& budget, std::size_t entries, time_point now)
+{
+    const double guaranteed =
+        guaranteed_part /
+        static_cast<double>(std::max<std::size_t>(entries, 1));
+    return now < budget.lease_until ? guaranteed + budget.leased_share
+                                    : guaranteed;
+}
+
+void set_share(
+    account_budget& budget, const account& limits, double share, time_point now)
+{
+    const double requests = limits.requests_per_second * share;
+    const double tokens = limits.tokens_per_second * share;
+    set_rate(budget.requests, requests, requests * burst_seconds, now);
+    set_rate(budget.tokens, tokens, tokens * burst_seconds, now);
+}
+
+/// The most that the entry may be using.
+double in_use(const entry_grants& entry)
+{
+    double most = 0;
+    for (const budget_grant& grant : entry.outstanding)
+        most = std::max(most, grant.share);
+    return most;
+}
+
+/// Forgets what has ended, and entries that hold nothing.
+void drop_ended(std::map<node_id, entry_grants>& grants, time_point now)
+{
+    for (auto& [id, entry] : grants)
+        std::erase_if(
+            entry.outstanding,
+            [now](const budget_grant& grant) { return grant.until <= now; });
+    std::erase_if(
+        grants,
+        [](const auto& item) { return item.second.outstanding.empty(); });
+}
+
+/// What an entry gets if all that want are served in proportion.
+double fair_grant(const std::map<node_id, entry_grants>& grants, double own)
+{
+    double wanted = 0;
+    for (const auto& [id, entry] : grants)
+        wanted += entry.wanted;
+    return wanted <= leased_part ? own : own / wanted * leased_part;
+}
+
+} // namespace
+
+double grant_share(
+    budget_ledger& ledger,
+    const account_id& account,
+    const node_id& entry,
+    double wanted,
+    time_point now)
+{
+    auto& grants = ledger.grants[account];
+    drop_ended(grants, now);
+    entry_grants& own = grants[entry];
+    own.wanted = std::clamp(wanted, 0.0, leased_part);
+    double others = 0;
+    for (const auto& [id, other] : grants)
+        if (id != entry)
+            others += in_use(other);
+    const double free = std::max(0.0, leased_part - others);
+    const double granted = std::min(fair_grant(grants, own.wanted), free);
+    own.outstanding.push_back({granted, now + budget_lease});
+    return granted;
+}
+
+account_budget
+initial_budget(const account& limits, std::size_t entries, time_point now)
+{
+    account_budget budget;
+    budget.counted_from = now;
+    budget.requests.filled_at = now;
+    budget.tokens.filled_at = now;
+    set_share(budget, limits, usable_share(budget, entries, now), now);
+    budget.requests.level = budget.requests.burst;
+    budget.tokens.level = budget.tokens.burst;
+    return budget;
+}
+
+void take_lease(account_budget& budget, double share, time_point asked_at)
+{
+    if (asked_at + budget_lease_at_entry <= budget.lease_until)
+        return;
+    budget.leased_share = std::clamp(share, 0.0, leased_part);
+    budget.lease_until = asked_at + budget_lease_at_entry;
+}
+
+double
+wanted_share(account_budget& budget, const account& limits, time_point now)
+{
+    const double seconds =
+        std::max(0.001, to_seconds(now - budget.counted_from));
+    const double tokens = budget.demanded_tokens / seconds /
+                          std::max(1.0, limits.tokens_per_second);
+    const double requests = budget.demanded_requests / seconds /
+                            std::max(0.001, limits.requests_per_second);
+    budget.demanded_tokens = 0;
+    budget.demanded_requests = 0;
+    budget.counted_from = now;
+    return std::min(1.0, std::max(tokens, requests) * demand_headroom);
+}
+
+std::optional<duration> spend(
+    account_budget& budget,
+    const account& limits,
+    std::size_t entries,
+    double tokens,
+    time_point now)
+{
+    budget.demanded_tokens += tokens;
+    budget.demanded_requests += 1;
+    set_share(budget, limits, usable_share(budget, entries, now), now);
+    if (!has(budget.requests, 1, now) || !has(budget.tokens, tokens, now))
+        return std::max(
+            wait_for(budget.requests, 1, now),
+            wait_for(budget.tokens, tokens, now));
+    take(budget.requests, 1, now);
+    take(budget.tokens, tokens, now);
+    return std::nullopt;
+}
+
+} // namespace bergamotusher::admission
