Learn the prompt rate from what answers can tell

Cause: the rate was taken from first token less a base time and less the backlog at the time of the answer, which is not the one met; short prompts gave rates ten times the true ones, and first tokens were predicted to be several times sooner than they came. Ruled out: the load view, since the counts were right. Now an answer is matched to its dispatch by time, and prompt tokens by time to first token, a lower bound of the rate, is followed at its 90th percentile.

--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -271,9 +271,10 @@
     const double computing = expected.recomputed_tokens / rate;
     const double answering = expected.gap_seconds * request.expected_tokens;
     const double over = std::max(0.0, requests + 1 - value.slots);
-    expected.first_token_seconds = speed.base_seconds + computing +
-                                   std::max(own_wait, wait_at(speed, now)) +
-                                   over * answering / value.slots;
+    expected.first_token_seconds =
+        speed.base_seconds + computing +
+        std::max(0.0, own_wait + wait_at(speed, now)) +
+        over * answering / value.slots;
     const double full_gap = gap_at(speed, 1);
     expected.cost =
         value.price_per_hour / 3600 *
--- a/src/routing/routing_state.hpp
+++ b/src/routing/routing_state.hpp
@@ -19,6 +19,7 @@
 #include <deque>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace bergamotusher::routing
 {
@@ -30,6 +31,16 @@
 /// A dispatch whose end was never seen counts no longer than this.
 inline constexpr duration dispatch_lifetime = 10min;
 
+/// A request that this entry sent and whose end it has not seen.
+struct own_dispatch
+{
+    time_point sent;
+    /// Wait expected from own earlier dispatches, in seconds.
+    double own_wait = 0;
+    /// Prompt tokens that the view held to be cached.
+    double cached_tokens = 0;
+};
+
 /// One upstream, as seen from this entry.
 struct upstream_estimate
 {
@@ -39,8 +50,8 @@
     std::uint32_t slots = 1;
     load_report load;
     time_point load_at;
-    /// Times of own dispatches whose end has not been seen, oldest first.
-    std::deque<time_point> in_flight;
+    /// Oldest first.
+    std::vector<own_dispatch> in_flight;
     /// Own dispatches and ends that the load report cannot include yet.
     std::deque<time_point> dispatched;
     std::deque<time_point> ended;
--- a/src/routing/speed.cpp
+++ b/src/routing/speed.cpp
@@ -16,11 +16,17 @@
 /// Seconds between tokens on an idle and on a full upstream, until known.
 constexpr double assumed_idle_gap = 0.015;
 constexpr double assumed_full_gap = 0.035;
-/// Weight of a new sample that shows a faster, and a slower, prompt rate.
-constexpr double faster_weight = 0.3;
-constexpr double slower_weight = 0.05;
+/// A sample is at most the true rate, so the estimate follows their 90th
+/// percentile: it takes large steps up and small ones down.
+constexpr double step_up = 0.09;
+constexpr double step_down = 0.01;
+/// The steps are longer by this factor for the first samples.
+constexpr double first_steps = 4;
+constexpr std::uint32_t first_samples = 32;
 /// Prompts below this say nothing on the prompt rate.
-constexpr double least_prompt_tokens = 256;
+constexpr double least_prompt_tokens = 512;
+/// Nor do first tokens of which more than this share was waiting.
+constexpr double telling_wait = 0.2;
 constexpr double wait_weight = 0.3;
 /// The unexplained wait falls by half in this time, in seconds.
 constexpr double wait_half_life = 2;
@@ -36,6 +42,15 @@
     line.xy += weight * x * y;
 }
 
+void learn_rate(speed_estimate& speed, double sample)
+{
+    const double scale = speed.samples < first_samples ? first_steps : 1;
+    const bool faster = sample > speed.prompt_tokens_per_second;
+    const double factor = faster ? 1 + scale * step_up : 1 - scale * step_down;
+    speed.prompt_tokens_per_second = std::clamp(
+        speed.prompt_tokens_per_second * factor, slowest_rate, fastest_rate);
+}
+
 } // namespace
 
 void add(decaying_line& line, double x, double y)
@@ -72,26 +87,17 @@
     speed_estimate& speed,
     duration seen,
     double recomputed_tokens,
-    double explained_seconds,
+    double own_wait,
     time_point now)
 {
-    const double seconds = to_seconds(seen);
-    const double computing =
-        std::max(seconds - speed.base_seconds - explained_seconds, 0.001);
-    if (recomputed_tokens >= least_prompt_tokens)
-    {
-        const double rate = std::clamp(
-            recomputed_tokens / computing, slowest_rate, fastest_rate);
-        const double weight = rate > speed.prompt_tokens_per_second
-                                  ? faster_weight
-                                  : slower_weight;
-        speed.prompt_tokens_per_second +=
-            weight * (rate - speed.prompt_tokens_per_second);
-    }
-    const double expected = recomputed_tokens / speed.prompt_tokens_per_second;
-    const double unexplained = std::max(0.0, computing - expected);
+    const double seconds = std::max(to_seconds(seen), 0.001);
+    if (recomputed_tokens >= least_prompt_tokens &&
+        own_wait < telling_wait * seconds)
+        learn_rate(speed, recomputed_tokens / seconds);
+    const double expected = speed.base_seconds + own_wait +
+                            recomputed_tokens / speed.prompt_tokens_per_second;
     const double known = wait_at(speed, now);
-    speed.unexplained_wait = known + wait_weight * (unexplained - known);
+    speed.unexplained_wait = known + wait_weight * (seconds - expected - known);
     speed.wait_at = now;
     ++speed.samples;
 }
--- a/src/routing/speed.hpp
+++ b/src/routing/speed.hpp
@@ -33,7 +33,8 @@
     double base_seconds = 0.03;
     /// Seconds between tokens, over the share of slots in use.
     decaying_line gap;
-    /// Wait before the prompt is computed that own dispatches do not explain.
+    /// How much later first tokens come than own dispatches explain, in
+    /// seconds; negative if sooner.
     double unexplained_wait = 0;
     time_point wait_at;
     std::uint32_t samples = 0;
@@ -42,13 +43,13 @@
 /// An estimate with the assumptions for an upstream that nothing is known of.
 speed_estimate initial_speed();
 
-/// Learns from the time to a first token, of which `explained` was own
-/// backlog.
+/// Learns from the time to a first token. `own_wait` is the wait that the
+/// backlog of own dispatches explains, in seconds.
 void learn_first_token(
     speed_estimate& speed,
     duration seen,
     double recomputed_tokens,
-    double explained_seconds,
+    double own_wait,
     time_point now);
 
 /// Learns from the mean gap between tokens at a share of slots in use.
