Age a prefix view out by many gaps, not by two

Cause: with half of the cache events lost, two gaps come within two seconds and dropped the whole view, also what had just been dispatched. Now a gap makes entries count for four fifths, and sixteen gaps without use drop them; how far answers confirm the view stays the stronger correction.

--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -598,10 +598,48 @@
     }
 }
 
+/// The mean time of one choice among `count` upstreams, in nanoseconds.
+double time_choice(std::size_t count)
+{
+    world w;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const engine one = instance(i);
+        announce(w.dir, one.value, start);
+        on_announced(w.state, one.value);
+    }
+    refresh_subsets(w.state, w.dir, {"n1"});
+    std::vector<choice_request> requests;
+    for (std::uint64_t i = 0; i < 64; ++i)
+        requests.push_back(question(w, *make_job(w, i % 5, i)));
+    constexpr int rounds = 50'000;
+    std::size_t made = 0;
+    const auto began = std::chrono::steady_clock::now();
+    for (int i = 0; i < rounds; ++i)
+    {
+        choice_request& request = requests[i % requests.size()];
+        request.draw = w.draws();
+        const auto result = choose_upstream(w.dir, w.state, request, start);
+        const auto* chosen = std::get_if<choice>(&result);
+        if (!chosen)
+            continue;
+        ++made;
+        if (i % 50 == 0)
+            on_dispatch(w.state, request, *chosen, start);
+    }
+    const std::chrono::duration<double, std::nano> spent =
+        std::chrono::steady_clock::now() - began;
+    return made == 0 ? 0 : spent.count() / rounds;
+}
+
 } // namespace
 
 int main()
 {
+    for (const std::size_t count : {20, 5'000})
+        std::printf(
+            "one choice among %zu: %.0f ns\n", count, time_choice(count));
+
     std::printf(
         "%-13s %-18s %9s %9s %7s %11s %8s\n",
         "scenario",
--- a/src/routing/prefix.cpp
+++ b/src/routing/prefix.cpp
@@ -13,6 +13,8 @@
 constexpr double confirmation_weight = 0.1;
 /// The view is never trusted less: it has to be tried to be confirmed.
 constexpr double least_confidence = 0.1;
+/// What a doubtful entry counts for.
+constexpr double doubtful_weight = 0.8;
 
 std::uint64_t mix(std::uint64_t value)
 {
@@ -40,7 +42,7 @@
     return mix(hash) % prefix_sets;
 }
 
-/// What the engine is believed to know of the block: 0, 0.5 or 1.
+/// How sure it is that the engine holds the block, 0 to 1.
 double weight_of(const prefix_view& view, std::uint64_t hash)
 {
     for (const prefix_slot& slot : view.sets[set_of(hash)])
@@ -49,7 +51,7 @@
             continue;
         if (slot.stamp < view.dropped_below)
             return 0;
-        return slot.stamp < view.doubtful_below ? 0.5 : 1;
+        return slot.stamp < view.doubtful_below ? doubtful_weight : 1;
     }
     return 0;
 }
@@ -85,8 +87,10 @@
 void note_gap(prefix_view& view)
 {
     ++view.gaps;
-    view.dropped_below = view.doubtful_below;
+    std::uint32_t& oldest = view.gap_stamps[view.gaps % gaps_to_drop];
+    view.dropped_below = oldest;
     view.doubtful_below = ++view.stamp;
+    oldest = view.stamp;
 }
 
 } // namespace
--- a/src/routing/prefix.hpp
+++ b/src/routing/prefix.hpp
@@ -4,7 +4,7 @@
 // up to its end, so equal hashes mean equal prefixes. The view of one engine
 // is a bounded, set-associative table of such hashes. It is filled by own
 // dispatches and by the engine's cache events; a gap in the events makes what
-// was known before count less, and a second gap drops it.
+// was known before count less, and more gaps drop what is not used again.
 #pragma once
 
 #include <bergamotusher/upstream.hpp>
@@ -25,6 +25,9 @@
 inline constexpr std::size_t prefix_sets = 512;
 inline constexpr std::size_t prefix_ways = 8;
 
+/// An entry that was not used while so many gaps were seen is dropped.
+inline constexpr std::size_t gaps_to_drop = 16;
+
 /// The hash of each whole block of `prompt`, in order.
 std::vector<std::uint64_t> prefix_blocks(std::string_view prompt);
 
@@ -44,7 +47,7 @@
     std::uint64_t sequence = 0;
     /// Grows with each use; later entries have greater stamps.
     std::uint32_t stamp = 1;
-    /// Entries with stamps below this one count for half.
+    /// Entries with stamps below this one are doubtful and count for less.
     std::uint32_t doubtful_below = 0;
     /// Entries with stamps below this one are not counted.
     std::uint32_t dropped_below = 0;
@@ -54,6 +57,8 @@
     bool reports_hits = false;
     /// Gaps seen in the event sequence.
     std::uint64_t gaps = 0;
+    /// The stamps at the latest of them.
+    std::array<std::uint32_t, gaps_to_drop> gap_stamps{};
 };
 
 /// The share of `blocks` that the engine is believed to hold, 0 to 1, before
