--- a/src/routing/prefix.hpp
+++ b/src/routing/prefix.hpp
@@ -4,7 +4,7 @@
 // up to its end, so equal hashes mean equal prefixes. The view of one engine
 // is a bounded, set-associative table of such hashes. It is filled by own
 // dispatches and by the engine's cache events; a gap in the events makes what
-// was known before count less, and a second gap drops it.
+// was known before count less, and more gaps drop what is not used again.
 #pragma once
 
 #include <bergamotusher/upstream.hpp>
@@ -23,7 +23,10 @@
 inline constexpr std::size_t max_prefix_blocks = 256;
 /// Size of the view of one engine.
 inline constexpr std::size_t prefix_sets = 512;
-inline constexpr std::size_t prefix_ways = 4;
+inline constexpr std::size_t prefix_ways = 8;
+
+/// An entry that was not used while so many gaps were seen is dropped.
+inline constexpr std::size_t gaps_to_drop = 16;
 
 /// The hash of each whole block of `prompt`, in order.
 std::vector<std::uint64_t> prefix_blocks(std::string_view prompt);
@@ -44,17 +47,18 @@
     std::uint64_t sequence = 0;
     /// Grows with each use; later entries have greater stamps.
     std::uint32_t stamp = 1;
-    /// Entries with stamps below this one count for half.
+    /// Entries with stamps below this one are doubtful and count for less.
     std::uint32_t doubtful_below = 0;
     /// Entries with stamps below this one are not counted.
     std::uint32_t dropped_below = 0;
     /// How far the engine's answers confirm the view, 0 to 1.
     double confidence = 1;
-    /// Decaying sums of cached tokens, as expected and as answered.
-    double expected_tokens = 0;
-    double answered_tokens = 0;
+    /// Whether the engine has ever answered that tokens were cached.
+    bool reports_hits = false;
     /// Gaps seen in the event sequence.
     std::uint64_t gaps = 0;
+    /// The stamps at the latest of them.
+    std::array<std::uint32_t, gaps_to_drop> gap_stamps{};
 };
 
 /// The share of `blocks` that the engine is believed to hold, 0 to 1, before
@@ -68,11 +72,8 @@
 /// Takes one message of cache events; late ones are ignored.
 void apply(prefix_view& view, const cache_events& events);
 
-/// A request was sent of which the view says `tokens` are cached.
-void expect(prefix_view& view, double tokens);
-
-/// The engine answered that `tokens` were cached. An engine that never says so
-/// is taken at the view's word.
-void confirm(prefix_view& view, double tokens);
+/// The engine answered that `cached` tokens were cached where the view said
+/// `expected`. An engine that has never said so is taken at the view's word.
+void confirm(prefix_view& view, double expected, double cached);
 
 } // namespace bergamotusher::routing
