Version moves run on the leader: evidence from entries, steps, fenced orders

A moves duty takes each move on while this process leads; entries send their sums four times a second and stop a version by their own evidence before the leader has ruled.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -4,6 +4,7 @@
 #include "daemon/callers_duty.hpp"
 #include "daemon/control_duty.hpp"
 #include "daemon/events_duty.hpp"
+#include "daemon/moves_duty.hpp"
 #include "daemon/operator_desk.hpp"
 #include "daemon/peers_duty.hpp"
 #include "daemon/platform_duty.hpp"
@@ -105,6 +106,7 @@
 
     void publish(std::shared_ptr<const configuration> config);
     void make_control_side();
+    void make_moves_side();
     void make_serving_side();
     void make_caller_side();
     void make_admin_side();
@@ -122,6 +124,7 @@
     duty& serving_thread;
     duty& admin_thread;
     duty& platform_thread;
+    duty& moves_thread;
 
     std::unique_ptr<callers_duty> callers;
     std::unique_ptr<upstreams_duty> upstreams;
@@ -129,6 +132,7 @@
     std::unique_ptr<operator_desk> desk;
     std::unique_ptr<admin_duty> admin;
     std::unique_ptr<platform_duty> platform;
+    std::unique_ptr<moves_duty> moves;
 
     mailbox<serving_input> callers_to_serving;
     mailbox<serving_input> upstreams_to_serving;
@@ -139,6 +143,9 @@
     mailbox<serving_action> serving_to_callers;
     mailbox<serving_action> serving_to_upstreams;
     mailbox<proposal_answer> control_to_desk;
+    mailbox<proposal_answer> control_to_moves;
+    mailbox<entry_evidence> serving_to_moves;
+    mailbox<entry_evidence> peers_to_moves;
     mailbox<std::shared_ptr<const configuration>> control_to_callers;
 
     state_store store;
@@ -158,6 +165,7 @@
     , serving_thread(tree.add("serving"))
     , admin_thread(tree.add("admin"))
     , platform_thread(tree.add("platform"))
+    , moves_thread(tree.add("moves"))
     , callers_to_serving(
           ring_to<serving_input>(serving_thread, serving, ring_capacity))
     , upstreams_to_serving(
@@ -176,6 +184,12 @@
           ring_to<serving_action>(upstreams_thread, upstreams, ring_capacity))
     , control_to_desk(
           ring_to<proposal_answer>(admin_thread, desk, small_ring_capacity))
+    , control_to_moves(
+          ring_to<proposal_answer>(moves_thread, moves, small_ring_capacity))
+    , serving_to_moves(
+          ring_to<entry_evidence>(moves_thread, moves, small_ring_capacity))
+    , peers_to_moves(
+          ring_to<entry_evidence>(moves_thread, moves, small_ring_capacity))
     , control_to_callers(
           callers_thread.loop(),
           small_ring_capacity,
@@ -186,6 +200,7 @@
     , peers(make_peers(peer_settings(values, incarnation, clock)))
 {
     make_control_side();
+    make_moves_side();
     make_serving_side();
     make_caller_side();
     make_admin_side();
@@ -237,6 +252,35 @@
     control = make_control(std::move(options), std::move(machine), *peers);
 }
 
+void daemon_process::parts::make_moves_side()
+{
+    on_message(
+        *peers,
+        wire::evidence,
+        [this](incoming_message&& message)
+        {
+            if (auto report = rollout::parse_evidence(message.body))
+                peers_to_moves.push({message.from, std::move(*report)});
+        });
+    proposer& to_control = make_proposer(
+        *control,
+        small_ring_capacity,
+        [this](control_news&& news)
+        {
+            if (auto* answer = std::get_if<proposal_answer>(&news))
+                control_to_moves.push(std::move(*answer));
+        });
+    moves = std::make_unique<moves_duty>(
+        moves_thread.loop(),
+        moves_links{
+            store,
+            [this] { return serving->shown()->for_moves; },
+            [this](time_point at) { return order_fence(*control, at); },
+            [&to_control](proposal wanted)
+            { return propose(to_control, std::move(wanted)); },
+            events.port("moves")});
+}
+
 void daemon_process::parts::make_serving_side()
 {
     for (const auto kind :
@@ -268,6 +312,8 @@
             { return propose(to_control, std::move(wanted)); },
             make_sender(*peers, ring_capacity),
             events.port("serving"),
+            [this] { return status_of(*control).leader; },
+            serving_to_moves,
             [this]
             {
                 is_drained = true;
--- a/src/daemon/serving_duty.cpp
+++ b/src/daemon/serving_duty.cpp
@@ -4,6 +4,7 @@
 #include "daemon/outbox.hpp"
 #include "daemon/supervisor.hpp"
 #include "daemon/upstream_view.hpp"
+#include "daemon/version_watch.hpp"
 #include "routing/prefix.hpp"
 #include "wire/directory_codec.hpp"
 #include "wire/serving_codec.hpp"
@@ -20,6 +21,7 @@
 
 constexpr duration tick_interval = 10ms;
 constexpr duration gossip_interval = 200ms;
+constexpr duration evidence_interval = 250ms;
 // For answers that callers got just before this entry left them.
 constexpr duration address_margin = 500ms;
 
@@ -74,6 +76,10 @@
     upstream_view view;
     journal_port journal;
     entry_view entries;
+    version_watch versions;
+    /// As committed; `config` is the same without versions stopped here.
+    std::shared_ptr<const configuration> committed =
+        std::make_shared<configuration>();
     std::shared_ptr<const configuration> config =
         std::make_shared<configuration>();
     time_point may_accept_until;
@@ -83,6 +89,7 @@
     std::optional<time_point> refuse_from;
     pacer gossip{gossip_interval, {}};
     pacer report{entry_report_interval, {}};
+    pacer evidence{evidence_interval, {}};
     std::uint64_t malformed_messages = 0;
     published<serving_view> shown;
 };
@@ -134,12 +141,38 @@
     duty.links.events.record(std::move(happened));
 }
 
+// An upstream that was reclaimed, or lost with its failure domain, is no
+// evidence against the version that it ran.
+void excuse_upstream(duty_state& duty, const serving_input& input)
+{
+    if (const auto* leaves = std::get_if<upstream_leaves>(&input))
+        rollout::excuse(duty.versions.recorder, leaves->target, now());
+    const auto* gone = std::get_if<upstream_gone>(&input);
+    if (gone != nullptr && gone->domain_lost)
+        rollout::excuse(duty.versions.recorder, gone->target, now());
+}
+
 void take_changes(duty_state& duty, view_changes&& changes)
 {
     for (event& happened : changes.events)
         record(duty, std::move(happened));
     for (const serving_input& input : changes.inputs)
+    {
+        excuse_upstream(duty, input);
         feed(duty, input);
+    }
+}
+
+void take_observed(duty_state& duty, attempt_observed& seen)
+{
+    const time_point at = now();
+    const auto* entry = membership::find(duty.view.directory, seen.target);
+    if (entry != nullptr)
+        seen.key.band = band_of(
+            utilisation(duty.view, entry->value, at) * entry->value.slots,
+            entry->value.slots);
+    note(duty.view, seen, at);
+    rollout::observe(duty.versions.recorder, seen, at);
 }
 
 void take_answer(duty_state& duty, const proposal_answer& answer)
@@ -200,8 +233,8 @@
         note(duty.view, *unwanted, now());
         duty.upstreams.send(std::move(action));
     }
-    else if (const auto* seen = std::get_if<attempt_observed>(&action))
-        note(duty.view, *seen, now());
+    else if (auto* seen = std::get_if<attempt_observed>(&action))
+        take_observed(duty, *seen);
     else if (auto* happened = std::get_if<record_event>(&action))
         record(duty, std::move(happened->value));
     else if (std::holds_alternative<drained>(action))
@@ -228,6 +261,11 @@
 {
     serving_view view;
     view.upstreams = upstreams_json(duty.view, at);
+    for (const auto& [id, entry] : duty.view.directory.entries)
+        view.for_moves.push_back(
+            {entry.value,
+             membership::may_take_work(entry, at),
+             utilisation(duty.view, entry.value, at)});
     view.entries = entry_addresses(duty.entries, at);
     view.open_requests = duty.requests.open_count;
     view.revision = duty.config->revision;
@@ -256,6 +294,30 @@
     send_all_peers(duty, wire::directory, wire::encode(delta));
 }
 
+void report_evidence(duty_state& duty, time_point at)
+{
+    watch_result result = collect(duty.versions, *duty.committed, at);
+    if (result.changed)
+    {
+        duty.config = without_stopped(duty.committed, duty.versions.stopped);
+        for (const auto& [service, version] : duty.versions.stopped)
+        {
+            event happened;
+            happened.kind = event_kind::version_stopped;
+            happened.detail = service.value + " " + version.value;
+            record(duty, std::move(happened));
+        }
+    }
+    if (!result.report)
+        return;
+    const node_id leader = duty.links.leader();
+    if (leader == duty.node)
+        duty.links.moves.push({duty.node, std::move(*result.report)});
+    else if (!leader.empty())
+        send_peer(
+            duty, leader, wire::evidence, rollout::encode(*result.report));
+}
+
 void on_tick(duty_state& duty)
 {
     const time_point at = now();
@@ -266,6 +328,8 @@
         send_delta(duty, at);
     if (duty.report.due(at))
         report_self(duty, at);
+    if (duty.evidence.due(at))
+        report_evidence(duty, at);
     if (duty.refuse_from && at >= *duty.refuse_from)
     {
         duty.refuse_from.reset();
@@ -354,9 +418,14 @@
     duty_state& duty = *state_;
     if (const auto* applied = std::get_if<configuration_applied>(&news))
     {
-        if (applied->value->revision < duty.config->revision)
+        if (applied->value->revision < duty.committed->revision)
             return;
-        duty.config = applied->value;
+        duty.committed = applied->value;
+        duty.config = without_stopped(duty.committed, duty.versions.stopped);
+        event happened;
+        happened.kind = event_kind::configuration_applied;
+        happened.number = duty.committed->revision;
+        record(duty, std::move(happened));
     }
     else if (const auto* lease = std::get_if<configuration_lease>(&news))
         duty.may_accept_until = lease->valid_until;
--- a/src/daemon/serving_duty.hpp
+++ b/src/daemon/serving_duty.hpp
@@ -8,6 +8,7 @@
 #include "daemon/admin_duty.hpp"
 #include "daemon/entry_view.hpp"
 #include "daemon/events_duty.hpp"
+#include "daemon/moves_duty.hpp"
 #include "daemon/peers_duty.hpp"
 #include "serving/life_cycle.hpp"
 #include "settings/settings.hpp"
@@ -43,6 +44,10 @@
     std::function<bool(proposal)> propose;
     peers_sender& peers;
     events_port& events;
+    /// The control leader, as far as it is known; any thread.
+    std::function<node_id()> leader;
+    /// Hands evidence to this process's own moves duty.
+    mailbox<entry_evidence>& moves;
     /// Runs once, on the duty's loop, when nothing accepted is left.
     std::function<void()> on_drained;
 };
@@ -51,6 +56,7 @@
 struct serving_view
 {
     std::string upstreams = R"({"upstreams":[]})";
+    std::vector<move_upstream> for_moves;
     std::vector<membership::entry_address> entries;
     std::uint64_t open_requests = 0;
     std::uint64_t revision = 0;
--- a/src/daemon/upstream_view.cpp
+++ b/src/daemon/upstream_view.cpp
@@ -209,6 +209,15 @@
     view.dispatched.erase(attempt);
 }
 
+double
+utilisation(const upstream_view& view, const upstream& value, time_point now)
+{
+    const auto found = view.routing.upstreams.find(value.id);
+    if (found == view.routing.upstreams.end())
+        return 0;
+    return routing::requests_at(found->second, now) / value.slots;
+}
+
 std::string upstreams_json(const upstream_view& view, time_point now)
 {
     nlohmann::json list = nlohmann::json::array();
--- a/src/daemon/upstream_view.hpp
+++ b/src/daemon/upstream_view.hpp
@@ -72,6 +72,10 @@
 /// An attempt has ended; it cannot be cancelled any more.
 void forget(upstream_view& view, const attempt_id& attempt);
 
+/// How loaded the upstream is now, as requests that it has over its slots.
+double
+utilisation(const upstream_view& view, const upstream& value, time_point now);
+
 /// The JSON of `GET /v1/upstreams`.
 std::string upstreams_json(const upstream_view& view, time_point now);
 
