--- a/tests/fakes/fake_engine.cpp
+++ b/tests/fakes/fake_engine.cpp
@@ -41,6 +41,7 @@
     std::size_t cache_blocks = 4096;
     std::string crash_on;
     int fail_percent = 0;
+    std::string fail_version;
     std::string run_log;
 };
 
@@ -195,6 +196,12 @@
     to.end();
 }
 
+std::string current_version()
+{
+    const std::lock_guard lock(state.mutex);
+    return options.version;
+}
+
 void complete(const fake_request& request, fake_answer& to)
 {
     const std::string id = request.headers.count("x-request-id") > 0
@@ -216,7 +223,9 @@
     if (!options.crash_on.empty() &&
         what.text.find(options.crash_on) != std::string::npos)
         _exit(1);
-    if (static_cast<int>(number % 100) < options.fail_percent)
+    const bool bad_version = !options.fail_version.empty() &&
+                             current_version() == options.fail_version;
+    if (bad_version || static_cast<int>(number % 100) < options.fail_percent)
     {
         to.whole(500, "application/json", R"({"error":"failed"})", id);
         return;
@@ -342,6 +351,7 @@
     add("prefill-us", "time for each uncached prompt token", number("0"));
     add("cache-blocks", "prefix blocks that are kept", number("4096"));
     add("fail-percent", "share answered with 500", number("0"));
+    add("fail-version", "a version that answers 500", text(""));
     add("crash-on", "end the process on prompts with this text", text(""));
     add("run-log", "file with a line for each request that ran", text(""));
     add("ignore-fencing", "take orders with old fencing numbers");
@@ -367,6 +377,7 @@
     options.cache_blocks =
         static_cast<std::size_t>(from["cache-blocks"].as<int>());
     options.fail_percent = from["fail-percent"].as<int>();
+    options.fail_version = from["fail-version"].as<std::string>();
     options.crash_on = from["crash-on"].as<std::string>();
     options.run_log = from["run-log"].as<std::string>();
     options.ignore_fencing = from.count("ignore-fencing") > 0;
