--- a/tests/control/local_cluster.hpp
+++ b/tests/control/local_cluster.hpp
@@ -90,17 +90,6 @@
         .voter_lost_after = 600ms};
 }
 
-struct cluster
-{
-    temporary_folder folder;
-    std::vector<peer_address> nodes;
-    std::vector<std::unique_ptr<member>> members;
-    consensus::timing timing = short_timing();
-    std::uint64_t snapshot_every = 1000;
-    duration configuration_lease = 600ms;
-    std::uint64_t starts = 0;
-};
-
 /// A state machine that keeps the commands; a command's result is itself with
 /// "done " before.
 inline state_machine list_machine(observed& seen)
@@ -143,6 +132,18 @@
     return machine;
 }
 
+struct cluster
+{
+    temporary_folder folder;
+    std::vector<peer_address> nodes;
+    std::vector<std::unique_ptr<member>> members;
+    consensus::timing timing = short_timing();
+    std::uint64_t snapshot_every = 1000;
+    duration configuration_lease = 600ms;
+    std::uint64_t starts = 0;
+    std::function<state_machine(observed&)> machine = list_machine;
+};
+
 inline void take_news(observed& seen, control_news&& news)
 {
     const std::lock_guard lock(seen.mutex);
@@ -196,8 +197,8 @@
     if (adjust)
         adjust(peers, control);
     made->peers = make_peers(std::move(peers));
-    made->control = make_control(
-        std::move(control), list_machine(made->seen), *made->peers);
+    made->control =
+        make_control(std::move(control), all.machine(made->seen), *made->peers);
     constexpr std::size_t ring = 4096;
     made->proposer = &make_proposer(
         *made->control,
