--- a/tests/consensus/virtual_network.cpp
+++ b/tests/consensus/virtual_network.cpp
@@ -162,29 +162,90 @@
             std::make_shared<const std::string>(std::to_string(node.state))});
 }
 
-void carry_out(network& net, std::size_t index, const actions& out)
+void come_to(network& net, std::size_t index, work_step step)
+{
+    if (net.on_step)
+        net.on_step(net, index, step);
+}
+
+void carry_out_one(network& net, std::size_t index, const action& one)
 {
     node& node = net.nodes[index];
+    if (const auto* value = std::get_if<send>(&one))
+        post(net, index, *value);
+    else if (const auto* value = std::get_if<persist>(&one))
+        node.disk.pending.emplace_back(*value);
+    else if (const auto* value = std::get_if<persist_snapshot>(&one))
+        node.disk.pending.emplace_back(*value);
+    else if (const auto* value = std::get_if<apply>(&one))
+        apply_entry(net, node, value->value);
+    else if (const auto* value = std::get_if<restore>(&one))
+        restore_state(net, node, *value->value);
+    else if (const auto* value = std::get_if<read_ready>(&one))
+        node.reads.push_back(*value);
+    else if (const auto* value = std::get_if<role_changed>(&one))
+        if (value->role == role::leader)
+            check_leader(net, index);
+}
+
+void note_step_before(network& net, std::size_t index, const action& one)
+{
+    if (const auto* value = std::get_if<apply>(&one))
+        if (value->value.kind == entry_kind::command)
+            come_to(net, index, work_step::apply);
+}
+
+void note_step_after(network& net, std::size_t index, const action& one)
+{
+    if (std::holds_alternative<persist_snapshot>(one))
+        come_to(net, index, work_step::snapshot);
+    if (std::holds_alternative<proposed>(one))
+        come_to(net, index, work_step::propose);
+    if (const auto* out = std::get_if<send>(&one))
+        if (const auto* request = std::get_if<append_request>(&out->content))
+            if (!request->entries.empty())
+                come_to(net, index, work_step::append);
+    if (const auto* out = std::get_if<apply>(&one))
+        if (out->value.kind == entry_kind::command &&
+            net.nodes[index].core.role == role::leader)
+            come_to(net, index, work_step::answer);
+    if (const auto* write = std::get_if<persist>(&one))
+        for (const entry& value : write->entries)
+            come_to(
+                net,
+                index,
+                value.kind == entry_kind::members ? work_step::voter_change
+                                                  : work_step::sync);
+}
+
+/// A node that a fault ends in between does not carry out the rest.
+void carry_out(network& net, std::size_t index, const actions& out)
+{
+    const std::size_t starts = net.nodes[index].starts;
+    const auto goes_on = [&]
+    {
+        return net.nodes[index].running && net.nodes[index].starts == starts;
+    };
     for (const action& one : out)
     {
-        if (const auto* value = std::get_if<send>(&one))
-            post(net, index, *value);
-        else if (const auto* value = std::get_if<persist>(&one))
-            node.disk.pending.emplace_back(*value);
-        else if (const auto* value = std::get_if<persist_snapshot>(&one))
-            node.disk.pending.emplace_back(*value);
-        else if (const auto* value = std::get_if<apply>(&one))
-            apply_entry(net, node, value->value);
-        else if (const auto* value = std::get_if<restore>(&one))
-            restore_state(net, node, *value->value);
-        else if (const auto* value = std::get_if<read_ready>(&one))
-            node.reads.push_back(*value);
-        else if (const auto* value = std::get_if<role_changed>(&one))
-            if (value->role == role::leader)
-                check_leader(net, index);
+        note_step_before(net, index, one);
+        if (!goes_on())
+            return;
+        carry_out_one(net, index, one);
+        note_step_after(net, index, one);
+        if (!goes_on())
+            return;
     }
 }
 
+void note_input(network& net, std::size_t index, const input& input)
+{
+    if (const auto* in = std::get_if<received>(&input))
+        if (const auto* request = std::get_if<append_request>(&in->content))
+            if (!request->entries.empty())
+                come_to(net, index, work_step::append);
+}
+
 void check_leases(const network& net)
 {
     int holders = 0;
@@ -277,6 +338,7 @@
     options.seed = net.random();
     options.limits = net.limits;
     node.running = true;
+    ++node.starts;
     node.frozen = false;
     node.reads.clear();
     restore_state(net, node, node.disk.stored.base);
@@ -313,8 +375,16 @@
 actions give(network& net, std::size_t index, const input& input)
 {
     node& node = net.nodes[index];
+    const std::size_t starts = node.starts;
+    note_input(net, index, input);
+    if (!node.running || node.starts != starts)
+        return {};
+    const log_index commit = node.core.commit;
     actions out = step(node.core, input, local_now(net, node));
-    carry_out(net, index, out);
+    if (node.core.commit > commit)
+        come_to(net, index, work_step::commit);
+    if (node.running && node.starts == starts)
+        carry_out(net, index, out);
     return out;
 }
 
--- a/tests/consensus/virtual_network.hpp
+++ b/tests/consensus/virtual_network.hpp
@@ -6,6 +6,7 @@
 #include "consensus/replica.hpp"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -41,6 +42,7 @@
     node_id id;
     std::uint64_t storage_id = 0;
     bool running = false;
+    std::size_t starts = 0;
     bool frozen = false;
     consensus::replica core;
     virtual_disk disk;
@@ -60,6 +62,19 @@
     message content;
 };
 
+/// Where in its work a node is.
+enum class work_step
+{
+    propose,
+    append,
+    sync,
+    commit,
+    apply,
+    answer,
+    snapshot,
+    voter_change
+};
+
 struct network
 {
     std::mt19937_64 random;
@@ -77,6 +92,9 @@
     /// Applied entries after which a node takes a snapshot; 0 means never.
     log_index snapshot_every = 0;
 
+    /// Called when a node comes to a step; it may bring a fault on any node.
+    std::function<void(network&, std::size_t node, work_step)> on_step;
+
     // What the checks remember.
     std::map<term_number, std::size_t> leaders;
     std::map<log_index, std::uint64_t> states;
