--- a/src/consensus/encoding.cpp
+++ b/src/consensus/encoding.cpp
@@ -131,12 +131,18 @@
     m.set_match(from.match);
     m.set_sent_at_us(from.sent_at_us);
     m.set_unadmitted(from.unadmitted);
+    m.set_leaving(from.leaving);
 }
 
 message read(const pb::append_reply& m)
 {
     return append_reply{
-        m.term(), m.accepted(), m.match(), m.sent_at_us(), m.unadmitted()};
+        m.term(),
+        m.accepted(),
+        m.match(),
+        m.sent_at_us(),
+        m.unadmitted(),
+        m.leaving()};
 }
 
 void write(pb::consensus_message& to, const snapshot_chunk& from)
--- a/src/consensus/follower.cpp
+++ b/src/consensus/follower.cpp
@@ -85,7 +85,8 @@
     const append_request& request,
     time_point now)
 {
-    append_reply reply{replica.hard.term, false, 0, request.sent_at_us, 0};
+    append_reply reply{
+        replica.hard.term, false, 0, request.sent_at_us, 0, replica.leaving};
     if (request.term < replica.hard.term)
         return emit(out, from, reply);
     if (request.term > replica.hard.term || replica.role != role::follower ||
--- a/src/consensus/leader.cpp
+++ b/src/consensus/leader.cpp
@@ -222,6 +222,7 @@
     progress& peer = found->second;
     peer.heard_at = now;
     peer.answered = true;
+    peer.leaving = reply.leaving;
     peer.acked_at =
         std::max(peer.acked_at, time_point(duration(reply.sent_at_us)));
     note_admission(peer, reply);
@@ -264,7 +265,12 @@
     };
     const node_id& self = options.self;
     health.push_back(
-        {self, domain_of(self), is_voter(members, self), true, false, true});
+        {self,
+         domain_of(self),
+         is_voter(members, self),
+         !replica.leaving,
+         false,
+         true});
     for (const auto& [id, peer] : replica.followers)
     {
         const bool heard =
@@ -273,7 +279,7 @@
             {id,
              domain_of(id),
              is_voter(members, id),
-             heard && peer.unadmitted == 0,
+             heard && peer.unadmitted == 0 && !peer.leaving,
              peer.unadmitted != 0,
              peer.answered &&
                  peer.match + options.limits.caught_up_lag >= replica.commit});
--- a/src/consensus/membership.hpp
+++ b/src/consensus/membership.hpp
@@ -49,7 +49,7 @@
     node_id id;
     failure_domain domain;
     bool voter = false;
-    /// Heard from lately, admitted, and storage works.
+    /// Heard from lately, admitted, and not about to go.
     bool live = false;
     /// Not admitted: its data folder is new.
     bool unadmitted = false;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -135,6 +135,7 @@
                 if (!append_members(replica, out, in.members, now))
                     out.emplace_back(refused{error_kind::not_leader});
             },
+            [&](const leave&) { replica.leaving = true; },
             [&](const storage_synced& in)
             { note_synced(replica, out, in.token, now); },
             [&](const storage_broken&) { halt(replica, out); },
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -80,6 +80,8 @@
     std::size_t in_flight = 0;
     /// Id of its new data folder while it is not admitted, else 0.
     std::uint64_t unadmitted = 0;
+    /// Its instance is about to go.
+    bool leaving = false;
     /// It answered in this term.
     bool answered = false;
     /// The snapshot it is sent, and how far; null means none.
@@ -125,6 +127,9 @@
     log_index commit = 0;
     log_index applied = 0;
 
+    /// This node's instance is about to go.
+    bool leaving = false;
+
     // Storage.
     std::uint64_t next_token = 1;
     std::uint64_t synced_token = 0;
@@ -195,6 +200,11 @@
     membership members;
 };
 
+/// This node's instance is about to go: have it replaced while it still works.
+struct leave
+{
+};
+
 /// Everything persisted up to `token` is on the disk.
 struct storage_synced
 {
@@ -224,6 +234,7 @@
     received,
     propose,
     change_members,
+    leave,
     storage_synced,
     storage_broken,
     snapshot_taken,
--- a/src/consensus/types.hpp
+++ b/src/consensus/types.hpp
@@ -128,6 +128,8 @@
     std::int64_t sent_at_us = 0;
     /// The id of the replier's data folder if it is not admitted, else 0.
     std::uint64_t unadmitted = 0;
+    /// The replier's instance is about to go: replace it.
+    bool leaving = false;
 };
 
 /// A part of a snapshot.
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -122,22 +122,6 @@
         duty.machine.on_leadership(may, duty.core.hard.term);
 }
 
-void publish_status(control_duty& duty)
-{
-    const consensus::replica& core = duty.core;
-    const std::lock_guard lock(duty.status_mutex);
-    control_status& status = duty.status;
-    status.leader = core.leader;
-    status.commit = core.commit;
-    status.applied = core.applied;
-    status.last_index = consensus::last_index(core.log);
-    status.snapshot_index = core.base ? core.base->index : 0;
-    if (!(status.members == consensus::members_of(core)))
-        status.members = consensus::members_of(core);
-    status.admitted = core.hard.admitted;
-    status.lease_until = consensus::lease_until(core);
-}
-
 void take_snapshot_if_due(control_duty& duty)
 {
     const std::uint64_t applied = duty.core.applied;
@@ -157,35 +141,6 @@
             std::make_shared<const std::string>(duty.machine.snapshot())});
 }
 
-void arm_timer(control_duty& duty);
-
-void on_timer(control_duty& duty)
-{
-    const time_point now = steady_now();
-    if (consensus::next_tick(duty.core) <= now)
-        give(duty, consensus::tick{});
-    expire_proposals(duty, now);
-    ask_confirmation(duty, now);
-    flush_proposals(duty);
-    arm_timer(duty);
-}
-
-void arm_timer(control_duty& duty)
-{
-    const time_point now = steady_now();
-    time_point due = std::min(consensus::next_tick(duty.core), duty.confirm_at);
-    if (!duty.held.empty() || !duty.logged.empty() || !duty.forwarded.empty())
-        due = std::min(due, now + expiry_step);
-    due = std::max(due, now + 1ms);
-    duty.timer.expires_at(due);
-    duty.timer.async_wait(
-        [&duty](const boost::system::error_code& error)
-        {
-            if (!error)
-                on_timer(duty);
-        });
-}
-
 /// Wakes the timer early when deadlines begin to matter.
 void hasten_timer(control_duty& duty)
 {
@@ -235,96 +190,6 @@
         duty.options.on_failure(*report.failed);
 }
 
-std::uint64_t draw_number()
-{
-    std::random_device device;
-    return (std::uint64_t{device()} << 32U) | device();
-}
-
-consensus::storage_options storage_options_of(const control_options& options)
-{
-    consensus::storage_options storage;
-    storage.folder = options.data_dir;
-    storage.node = options.self;
-    storage.cluster = options.cluster;
-    storage.new_storage_id = draw_number() | 1U;
-    storage.files = options.files;
-    return storage;
-}
-
-/// Opens the folder; a damaged one is set aside if that is wanted.
-std::variant<consensus::opened_storage, failure> open_folder(control_duty& duty)
-{
-    const auto storage = storage_options_of(duty.options);
-    auto opened = consensus::open_storage(storage);
-    const auto* bad = std::get_if<failure>(&opened);
-    if (bad == nullptr || bad->kind != error_kind::storage_corrupt ||
-        !duty.options.rejoin_if_damaged)
-        return opened;
-    duty.status.failed = *bad;
-    if (auto worse = consensus::set_aside(storage))
-        return *worse;
-    return consensus::open_storage(storage);
-}
-
-consensus::replica_options
-replica_options_of(const control_options& options, std::uint64_t storage_id)
-{
-    consensus::replica_options made;
-    made.self = options.self;
-    for (const peer_address& node : options.nodes)
-        made.nodes.push_back({node.id, node.domain});
-    made.storage_id = storage_id;
-    made.seed = options.seed;
-    made.timing = options.timing;
-    made.limits = options.limits;
-    return made;
-}
-
-/// A report must not be lost: the storage thread waits while the ring is full.
-void hand_report(
-    control_duty& duty, std::uint64_t generation, storage_report report)
-{
-    report.generation = generation;
-    for (bool taken = false; !taken && !duty.stopping;)
-    {
-        storage_report copy = report;
-        taken = duty.from_storage.push(std::move(copy));
-        if (!taken)
-            std::this_thread::yield();
-    }
-}
-
-void reset_for_start(control_duty& duty)
-{
-    ++duty.generation;
-    duty.stopping = false;
-    duty.loop.restart();
-    duty.unsent_writes.clear();
-    duty.taken.clear();
-    duty.asking.reset();
-    duty.may_order = false;
-    duty.status.role = role::follower;
-    duty.status.failed.reset();
-}
-
-void start_core(control_duty& duty, consensus::opened_storage&& opened)
-{
-    const consensus::snapshot& base = opened.state.base;
-    duty.machine.restore(base.index, base.data ? *base.data : std::string());
-    duty.snapshotted = base.index;
-    duty.core = consensus::make_replica(
-        replica_options_of(duty.options, opened.storage.storage_id),
-        std::move(opened.state),
-        steady_now());
-    duty.status.term = duty.core.hard.term;
-    duty.storage = std::make_unique<storage_duty>(
-        std::move(opened.storage),
-        storage_ring,
-        [&duty, generation = duty.generation](const storage_report& report)
-        { hand_report(duty, generation, report); });
-}
-
 } // namespace
 
 proposer::proposer(
@@ -362,6 +227,49 @@
 {
 }
 
+void publish_status(control_duty& duty)
+{
+    const consensus::replica& core = duty.core;
+    const std::lock_guard lock(duty.status_mutex);
+    control_status& status = duty.status;
+    status.leader = core.leader;
+    status.commit = core.commit;
+    status.applied = core.applied;
+    status.last_index = consensus::last_index(core.log);
+    status.snapshot_index = core.base ? core.base->index : 0;
+    if (!(status.members == consensus::members_of(core)))
+        status.members = consensus::members_of(core);
+    status.admitted = core.hard.admitted;
+    status.lease_until = consensus::lease_until(core);
+}
+
+void on_timer(control_duty& duty)
+{
+    const time_point now = steady_now();
+    if (consensus::next_tick(duty.core) <= now)
+        give(duty, consensus::tick{});
+    expire_proposals(duty, now);
+    ask_confirmation(duty, now);
+    flush_proposals(duty);
+    arm_timer(duty);
+}
+
+void arm_timer(control_duty& duty)
+{
+    const time_point now = steady_now();
+    time_point due = std::min(consensus::next_tick(duty.core), duty.confirm_at);
+    if (!duty.held.empty() || !duty.logged.empty() || !duty.forwarded.empty())
+        due = std::min(due, now + expiry_step);
+    due = std::max(due, now + 1ms);
+    duty.timer.expires_at(due);
+    duty.timer.async_wait(
+        [&duty](const boost::system::error_code& error)
+        {
+            if (!error)
+                on_timer(duty);
+        });
+}
+
 time_point steady_now()
 {
     return std::chrono::time_point_cast<duration>(
@@ -413,7 +321,10 @@
 make_control(control_options options, state_machine machine, peers_duty& peers)
 {
     if (options.seed == 0)
-        options.seed = draw_number();
+    {
+        std::random_device device;
+        options.seed = (std::uint64_t{device()} << 32U) | device();
+    }
     control_handle duty(
         new control_duty(std::move(options), std::move(machine), peers));
     for (const wire::message_kind kind :
@@ -439,45 +350,9 @@
     return *duty.proposers.back();
 }
 
-std::optional<failure> start(control_duty& duty)
+void leave(control_duty& duty)
 {
-    const time_point began = steady_now();
-    reset_for_start(duty);
-    auto opened = open_folder(duty);
-    if (auto* bad = std::get_if<failure>(&opened))
-        return *bad;
-    start_core(duty, std::move(std::get<consensus::opened_storage>(opened)));
-    duty.status.opened_in = steady_now() - began;
-    publish_status(duty);
-    start(*duty.storage);
-    duty.thread = std::thread(
-        [&duty]
-        {
-            const auto guard = boost::asio::make_work_guard(duty.loop);
-            on_timer(duty);
-            duty.loop.run();
-        });
-    return std::nullopt;
-}
-
-void stop(control_duty& duty)
-{
-    if (!duty.thread.joinable())
-        return;
-    boost::asio::post(
-        duty.loop,
-        [&duty]
-        {
-            settle_all(duty);
-            if (duty.may_order && duty.machine.on_leadership)
-                duty.machine.on_leadership(false, duty.core.hard.term);
-            duty.order_until_us = 0;
-            duty.timer.cancel();
-            duty.loop.stop();
-        });
-    duty.stopping = true;
-    duty.thread.join();
-    stop(*duty.storage);
+    boost::asio::post(duty.loop, [&duty] { give(duty, consensus::leave{}); });
 }
 
 bool propose(proposer& proposer, proposal&& value)
--- a/src/daemon/control_duty.hpp
+++ b/src/daemon/control_duty.hpp
@@ -71,7 +71,8 @@
     std::function<void(
         event_kind kind, std::uint64_t number, const std::string& detail)>
         record;
-    /// Told once if storage fails; the replica has halted.
+    /// Told once if storage fails; the replica has halted. Runs on the control
+    /// thread, which must not stop the duty itself.
     std::function<void(const failure&)> on_failure;
 };
 
@@ -156,6 +157,10 @@
 /// a failure of storage.
 void stop(control_duty& duty);
 
+/// Has this node replaced as a voter while it still works: its instance is
+/// about to go. May be called from any thread.
+void leave(control_duty& duty);
+
 /// Hands a proposal over; false, and unanswered, if the ring is full.
 bool propose(proposer& proposer, proposal&& value);
 
--- a/src/daemon/control_proposals.cpp
+++ b/src/daemon/control_proposals.cpp
@@ -60,7 +60,7 @@
 
 void hold(control_duty& duty, held_proposal&& value)
 {
-    if (duty.held.size() >= duty.options.waiting_max)
+    if (duty.held.size() + duty.forwarded.size() >= duty.options.waiting_max)
         return answer(duty, value.origin, proposal_outcome::not_committed);
     duty.held.push_back(std::move(value));
     schedule_flush(duty);
--- a/src/daemon/control_state.hpp
+++ b/src/daemon/control_state.hpp
@@ -121,6 +121,10 @@
 
 /// Gives one input to the core and carries the actions out.
 void give(control_duty& duty, const consensus::input& input);
+void publish_status(control_duty& duty);
+/// Does what is due and arms the timer again.
+void on_timer(control_duty& duty);
+void arm_timer(control_duty& duty);
 void send_to(
     control_duty& duty,
     const node_id& to,
--- a/src/daemon/peers_duty.cpp
+++ b/src/daemon/peers_duty.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <fstream>
 #include <map>
@@ -303,6 +304,23 @@
             transmit(duty, std::move(message));
 }
 
+/// False if a signal came in between.
+bool poll_once(std::vector<zmq::pollitem_t>& items)
+{
+    constexpr std::chrono::milliseconds forever{-1};
+    try
+    {
+        zmq::poll(items, forever);
+        return true;
+    }
+    catch (const zmq::error_t& error)
+    {
+        if (error.num() != EINTR)
+            throw;
+        return false;
+    }
+}
+
 void run(peers_duty& duty)
 {
     std::vector<zmq::pollitem_t> items{
@@ -311,10 +329,10 @@
         {nullptr, duty.wake_file, ZMQ_POLLIN, 0}};
     if (duty.options.keys)
         items.push_back({duty.gatekeeper.handle(), 0, ZMQ_POLLIN, 0});
-    constexpr std::chrono::milliseconds forever{-1};
     while (!duty.stopping.load())
     {
-        zmq::poll(items, forever);
+        if (!poll_once(items))
+            continue;
         if (items[0].revents != 0)
             receive(duty);
         if (items[1].revents != 0)
--- a/tests/consensus/replica_test.cpp
+++ b/tests/consensus/replica_test.cpp
@@ -290,3 +290,32 @@
     step(core, received{{"n1"}, append_reply{2, true, 2, 0, 0}}, now);
     CHECK(core.commit == 2);
 }
+
+TEST_CASE("a voter whose instance is about to go is replaced at once")
+{
+    network net = started(4);
+    const std::size_t leader = elected(net);
+    run(net, 1s);
+    const bool leads = GENERATE(true, false);
+    std::size_t going = leader;
+    if (!leads)
+        for (std::size_t i = 0; i < 4; ++i)
+            if (i != leader &&
+                is_voter(members_of(net.nodes[leader].core), net.nodes[i].id))
+                going = i;
+    give(net, going, leave{});
+    const auto took = run_until(
+        net,
+        5s,
+        [&]
+        {
+            const auto now_leads = leader_of(net);
+            return now_leads && *now_leads != going &&
+                   members_committed(net.nodes[*now_leads].core) &&
+                   is_learner(
+                       members_of(net.nodes[*now_leads].core),
+                       net.nodes[going].id);
+        });
+    REQUIRE(took);
+    CHECK(members_of(net.nodes[*leader_of(net)].core).voters.size() == 3);
+}
