Leave an upstream that says it is full alone, and count free slots

A refusal makes its slots count as used for a while, and it meets no target until then. Seen failing, with the code broken on purpose: a refusal without a pause.

--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -133,7 +133,8 @@
     if (found.health == health_state::probation && !estimate.in_flight.empty())
         found.health = health_state::ejected;
     found.avoided = holds(request.avoided, entry.value.domain);
-    found.meets_target = meets(entry.value, found.expected, request);
+    found.meets_target = now >= estimate.full_until &&
+                         meets(entry.value, found.expected, request);
 }
 
 candidates gather(
@@ -272,7 +273,10 @@
     const double held = cached_share(estimate.cache, request.prefix_blocks) *
                         estimate.cache.confidence;
     expected.recomputed_tokens = request.prompt_tokens * (1 - held);
-    const double requests = requests_at(estimate, now);
+    const double requests =
+        now < estimate.full_until
+            ? std::max<double>(value.slots, requests_at(estimate, now))
+            : requests_at(estimate, now);
     expected.used_share = requests / value.slots;
     expected.gap_seconds = gap_at(speed, (requests + 1) / value.slots);
     const double rate = speed.prompt_tokens_per_second;
@@ -291,6 +295,32 @@
     return expected;
 }
 
+slot_count count_slots(
+    const directory& dir,
+    const routing_state& state,
+    const service_name& name,
+    time_point now)
+{
+    slot_count slots;
+    const auto* ids = members(dir, state, name);
+    if (!ids)
+        return slots;
+    for (const upstream_id& id : *ids)
+    {
+        const directory_entry* entry = find(dir, id);
+        if (!entry || !may_take_work(*entry, now))
+            continue;
+        const upstream_estimate& estimate = estimate_of(state, entry->value);
+        if (state_at(estimate.health, now) == health_state::ejected)
+            continue;
+        const double all = entry->value.slots;
+        slots.total += all;
+        if (now >= estimate.full_until)
+            slots.free += std::max(0.0, all - requests_at(estimate, now));
+    }
+    return slots;
+}
+
 choice_result choose_upstream(
     const directory& dir,
     const routing_state& state,
--- a/src/routing/choose.hpp
+++ b/src/routing/choose.hpp
@@ -27,6 +27,20 @@
     double used_share = 0;
 };
 
+/// The slots of a service that this entry may use, for admission.
+struct slot_count
+{
+    double total = 0;
+    double free = 0;
+};
+
+/// Counts the slots of the service's upstreams that serve and are not ejected.
+slot_count count_slots(
+    const membership::directory& dir,
+    const routing_state& state,
+    const service_name& name,
+    time_point now);
+
 /// Predicts what `request` would meet at the upstream.
 prediction predict(
     const upstream& value,
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -162,6 +162,8 @@
         learn(state, *estimate, seen, sent, now);
     else if (is_fault(*seen.failure))
         note_failure(estimate->health, now);
+    else
+        estimate->full_until = now + full_pause;
 }
 
 void on_ended(routing_state& state, const upstream_id& id, time_point now)
--- a/src/routing/routing_state.hpp
+++ b/src/routing/routing_state.hpp
@@ -28,6 +28,8 @@
 inline constexpr duration assumed_load_lag = 500ms;
 /// A load report says nothing any more after this long.
 inline constexpr duration load_lifetime = 5s;
+/// An upstream that refused a request as full gets none for this long.
+inline constexpr duration full_pause = 250ms;
 /// A dispatch whose end was never seen counts no longer than this.
 inline constexpr duration dispatch_lifetime = 10min;
 
@@ -55,6 +57,8 @@
     /// Own dispatches and ends that the load report cannot include yet.
     std::deque<time_point> dispatched;
     std::deque<time_point> ended;
+    /// It refused a request as full: no more until then.
+    time_point full_until;
     /// Prompt tokens dispatched and not yet computed, at `backlog_at`.
     double backlog_tokens = 0;
     time_point backlog_at;
--- a/tests/routing/choose_test.cpp
+++ b/tests/routing/choose_test.cpp
@@ -135,6 +135,16 @@
             CHECK(w.chosen(start + 1s) == "cheap");
         }
     }
+    SECTION("it says itself that it is full, and is left alone for a moment")
+    {
+        attempt_observed seen;
+        seen.target = {"cheap"};
+        seen.failure = attempt_failure::refused;
+        on_observed(w.state, seen, start);
+        CHECK(w.chosen() == "dear");
+        CHECK(count_slots(w.dir, w.state, {"llm"}, start).free == 4);
+        CHECK(w.chosen(start + full_pause) == "cheap");
+    }
     SECTION("none when all are full and waiting can help")
     {
         for (int i = 0; i < 8; ++i)
