--- a/src/rollout/version_moves.hpp
+++ b/src/rollout/version_moves.hpp
@@ -33,6 +33,8 @@
     double route_requests = 10;
     /// Routes with less than this part of the traffic need none.
     double route_part = 0.02;
+    /// Requests of each trial upstream under full load.
+    std::uint64_t loaded_requests = 40;
     duration stage_time = 20s;
     /// Longest part of a move's time for one stage, 0 to 1; after it a
     /// quarter of the requests will do.
@@ -40,7 +42,7 @@
     /// The utilisation that trial upstreams are brought to, 0 to 1.
     double full_load = 0.9;
     /// The largest share while the version has only its trial upstreams.
-    double largest_loaded_share = 0.34;
+    double largest_loaded_share = 0.6;
     /// Shares of the stages after that.
     std::vector<double> widened_shares = {0.3, 0.6};
     /// The version's share in the soak; the old version keeps the rest, to
@@ -63,6 +65,9 @@
     /// After a refusal, doubled with each try.
     duration shortest_retry = 5s;
     duration longest_retry = 60s;
+    /// After most of a domain's upstreams went at once, crashes are no
+    /// evidence for this long.
+    duration disturbed_time = 5s;
     /// Longest time between commits while there is evidence.
     duration checkpoint_time = 10s;
 };
@@ -103,6 +108,10 @@
     /// Requests by route since the stage began.
     std::map<std::string, double> old_routes;
     std::map<std::string, double> new_routes;
+    /// Serving upstreams by failure domain at the last step.
+    std::map<failure_domain, std::size_t> serving;
+    /// Until then crashes may be those of a lost domain.
+    time_point disturbed_until;
     time_point committed;
     bool unsaved_evidence = false;
     /// Orders after the end, to load the winning version.
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -40,6 +40,15 @@
 
 using candidates = boost::container::static_vector<candidate, most_candidates>;
 
+bool all_healthy(const candidates& all)
+{
+    return std::all_of(
+        all.begin(),
+        all.end(),
+        [](const candidate& one)
+        { return one.health == health_state::healthy; });
+}
+
 template<class T>
 bool holds(const std::vector<T>& list, const T& item)
 {
@@ -109,22 +118,23 @@
     return found == dir.by_service.end() ? nullptr : &found->second;
 }
 
-candidate examine(
+/// Fills `found` in place: a choice looks at many.
+void examine(
+    candidate& found,
     const directory_entry& entry,
     const routing_state& state,
     const choice_request& request,
     time_point now)
 {
     const upstream_estimate& estimate = estimate_of(state, entry.value);
-    candidate found;
     found.entry = &entry;
     found.expected = predict(entry.value, estimate, request, now);
     found.health = state_at(estimate.health, now);
     if (found.health == health_state::probation && !estimate.in_flight.empty())
         found.health = health_state::ejected;
     found.avoided = holds(request.avoided, entry.value.domain);
-    found.meets_target = meets(entry.value, found.expected, request);
-    return found;
+    found.meets_target = now >= estimate.full_until &&
+                         meets(entry.value, found.expected, request);
 }
 
 candidates gather(
@@ -143,7 +153,7 @@
         if (!entry || !may_take_work(*entry, now) ||
             !permitted(entry->value, request))
             continue;
-        all.push_back(examine(*entry, state, request, now));
+        examine(all.emplace_back(), *entry, state, request, now);
         if (all.size() == most_candidates)
             break;
     }
@@ -263,7 +273,10 @@
     const double held = cached_share(estimate.cache, request.prefix_blocks) *
                         estimate.cache.confidence;
     expected.recomputed_tokens = request.prompt_tokens * (1 - held);
-    const double requests = requests_at(estimate, now);
+    const double requests =
+        now < estimate.full_until
+            ? std::max<double>(value.slots, requests_at(estimate, now))
+            : requests_at(estimate, now);
     expected.used_share = requests / value.slots;
     expected.gap_seconds = gap_at(speed, (requests + 1) / value.slots);
     const double rate = speed.prompt_tokens_per_second;
@@ -282,6 +295,32 @@
     return expected;
 }
 
+slot_count count_slots(
+    const directory& dir,
+    const routing_state& state,
+    const service_name& name,
+    time_point now)
+{
+    slot_count slots;
+    const auto* ids = members(dir, state, name);
+    if (!ids)
+        return slots;
+    for (const upstream_id& id : *ids)
+    {
+        const directory_entry* entry = find(dir, id);
+        if (!entry || !may_take_work(*entry, now))
+            continue;
+        const upstream_estimate& estimate = estimate_of(state, entry->value);
+        if (state_at(estimate.health, now) == health_state::ejected)
+            continue;
+        const double all = entry->value.slots;
+        slots.total += all;
+        if (now >= estimate.full_until)
+            slots.free += std::max(0.0, all - requests_at(estimate, now));
+    }
+    return slots;
+}
+
 choice_result choose_upstream(
     const directory& dir,
     const routing_state& state,
@@ -291,9 +330,12 @@
     candidates all = gather(dir, state, request, now);
     if (all.empty())
         return no_choice{no_choice_reason::none_known, longest_wait};
-    drop_ejected(all);
-    if (const candidate* chosen = probe(all, request))
-        return to_choice(*chosen);
+    if (!all_healthy(all))
+    {
+        drop_ejected(all);
+        if (const candidate* chosen = probe(all, request))
+            return to_choice(*chosen);
+    }
     if (const candidate* chosen = cheapest(all, request, false))
         return to_choice(*chosen);
     if (const candidate* chosen = cheapest(all, request, true))
--- a/tests/consensus/replica_test.cpp
+++ b/tests/consensus/replica_test.cpp
@@ -264,3 +264,58 @@
     run(net, 3s);
     CHECK(net.nodes[leader].core.role == role::leader);
 }
+
+TEST_CASE("a leader commits an entry of an earlier term only below its own")
+{
+    replica_options options;
+    options.self = {"n0"};
+    for (const char* id : {"n0", "n1", "n2"})
+        options.nodes.push_back({{id}, {id}});
+    recovered_state stored;
+    stored.hard = {1, {}, true};
+    stored.entries.push_back(
+        {.term = 1, .index = 1, .command = "old", .members = {}});
+    time_point now(1h);
+    replica core = make_replica(options, stored, now);
+    now += 3s;
+    step(core, tick{}, now);
+    step(core, received{{"n1"}, vote_reply{true, 2, true}}, now);
+    step(core, storage_synced{core.next_token - 1}, now);
+    step(core, received{{"n1"}, vote_reply{false, 2, true}}, now);
+    REQUIRE(core.role == role::leader);
+    step(core, storage_synced{core.next_token - 1}, now);
+
+    step(core, received{{"n1"}, append_reply{2, true, 1, 0, 0}}, now);
+    CHECK(core.commit == 0);
+    step(core, received{{"n1"}, append_reply{2, true, 2, 0, 0}}, now);
+    CHECK(core.commit == 2);
+}
+
+TEST_CASE("a voter whose instance is about to go is replaced at once")
+{
+    network net = started(4);
+    const std::size_t leader = elected(net);
+    run(net, 1s);
+    const bool leads = GENERATE(true, false);
+    std::size_t going = leader;
+    if (!leads)
+        for (std::size_t i = 0; i < 4; ++i)
+            if (i != leader &&
+                is_voter(members_of(net.nodes[leader].core), net.nodes[i].id))
+                going = i;
+    give(net, going, leave{});
+    const auto took = run_until(
+        net,
+        5s,
+        [&]
+        {
+            const auto now_leads = leader_of(net);
+            return now_leads && *now_leads != going &&
+                   members_committed(net.nodes[*now_leads].core) &&
+                   is_learner(
+                       members_of(net.nodes[*now_leads].core),
+                       net.nodes[going].id);
+        });
+    REQUIRE(took);
+    CHECK(members_of(net.nodes[*leader_of(net)].core).voters.size() == 3);
+}
--- a/tests/routing/choose_test.cpp
+++ b/tests/routing/choose_test.cpp
@@ -3,6 +3,7 @@
 #include "routing/subset.hpp"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 #include <set>
 
@@ -134,6 +135,16 @@
             CHECK(w.chosen(start + 1s) == "cheap");
         }
     }
+    SECTION("it says itself that it is full, and is left alone for a moment")
+    {
+        attempt_observed seen;
+        seen.target = {"cheap"};
+        seen.failure = attempt_failure::refused;
+        on_observed(w.state, seen, start);
+        CHECK(w.chosen() == "dear");
+        CHECK(count_slots(w.dir, w.state, {"llm"}, start).free == 4);
+        CHECK(w.chosen(start + full_pause) == "cheap");
+    }
     SECTION("none when all are full and waiting can help")
     {
         for (int i = 0; i < 8; ++i)
@@ -239,3 +250,43 @@
         CHECK(subset_of(w.dir, {"llm"}, {"n2"}) != mine);
     }
 }
+
+TEST_CASE("no upstream is chosen that left or fell silent two seconds before")
+{
+    CHECK(rc::check(
+        []
+        {
+            world w;
+            const std::vector<std::string> names = {"a", "b", "c"};
+            std::map<std::string, time_point> silent_since;
+            std::set<std::string> left;
+            for (const std::string& name : names)
+            {
+                w.add(name, "suva", 1);
+                silent_since[name] = start;
+            }
+            time_point now = start;
+            for (int step = 0; step < 60; ++step)
+            {
+                now += *rc::gen::inRange(0, 400) * 1ms;
+                const std::string name = *rc::gen::elementOf(names);
+                const auto* entry = find(w.dir, {name});
+                switch (*rc::gen::inRange(0, 12))
+                {
+                case 0:
+                    leave(w.dir, {name});
+                    left.insert(name);
+                    break;
+                case 1:
+                    on_load(w.state, {{name}, std::uint64_t(step), 0, 0}, now);
+                    break;
+                default:
+                    announce(w.dir, upstream(entry->value), now);
+                    silent_since[name] = now;
+                }
+                const std::string chosen = w.chosen(now);
+                RC_ASSERT(left.count(chosen) == 0);
+                RC_ASSERT(chosen.empty() || now < silent_since[chosen] + 2s);
+            }
+        }));
+}
