--- a/src/daemon/entry_view.cpp
+++ b/src/daemon/entry_view.cpp
@@ -2,20 +2,11 @@
 
 #include "wire/entry.pb.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 
 namespace bergamotusher
 {
 
-namespace
-{
-
-constexpr int entries_ttl_seconds = 10;
-
-} // namespace
-
 std::string
 encode_report(bool draining, bool ready, std::uint32_t open_requests)
 {
@@ -40,28 +31,33 @@
     return true;
 }
 
-std::vector<const peer*> usable_entries(const entry_view& view, time_point now)
+std::vector<membership::entry_address>
+entry_addresses(const entry_view& view, time_point now)
 {
-    std::vector<const peer*> usable;
+    std::vector<membership::entry_address> result;
     for (const peer& one : view.entries)
     {
+        membership::entry_address address{
+            one.id, to_string(one.entry), one.domain, false, false};
         const auto found = view.status.find(one.id);
-        if (found == view.status.end())
-            continue;
-        const entry_status& status = found->second;
-        const bool fresh = now - status.heard <= entry_report_lifetime;
-        if (fresh && status.ready && !status.draining)
-            usable.push_back(&one);
+        if (found != view.status.end())
+        {
+            const entry_status& status = found->second;
+            address.draining = status.draining;
+            address.alive =
+                status.ready && now - status.heard <= entry_report_lifetime;
+        }
+        result.push_back(std::move(address));
     }
-    return usable;
+    return result;
 }
 
 std::vector<node_id> successors(const entry_view& view, time_point now)
 {
     std::vector<std::pair<std::uint32_t, node_id>> found;
-    for (const peer* one : usable_entries(view, now))
-        if (one->id != view.self)
-            found.emplace_back(view.status.at(one->id).open_requests, one->id);
+    for (const auto& one : entry_addresses(view, now))
+        if (one.id != view.self && one.alive && !one.draining)
+            found.emplace_back(view.status.at(one.id).open_requests, one.id);
     std::sort(found.begin(), found.end());
     std::vector<node_id> result;
     for (auto& [open, id] : found)
@@ -69,25 +65,4 @@
     return result;
 }
 
-std::string entries_json(
-    const std::vector<const peer*>& usable, const account_id& account)
-{
-    // Callers of one account are sent to the same entries first, so that
-    // prefix views and budgets stay together.
-    std::vector<std::pair<std::size_t, const peer*>> order;
-    for (const peer* one : usable)
-        order.emplace_back(
-            std::hash<std::string>{}(account.value + '\n' + one->id.value),
-            one);
-    std::sort(order.begin(), order.end());
-    nlohmann::json list = nlohmann::json::array();
-    for (const auto& [weight, one] : order)
-        list.push_back(
-            {{"address", to_string(one->entry)},
-             {"node", one->id.value},
-             {"failure_domain", one->domain.value}});
-    return nlohmann::json{{"entries", list}, {"ttl_s", entries_ttl_seconds}}
-        .dump();
-}
-
 } // namespace bergamotusher
--- a/src/daemon/entry_view.hpp
+++ b/src/daemon/entry_view.hpp
@@ -2,6 +2,7 @@
 // callers and for finding successors when it drains.
 #pragma once
 
+#include "membership/entry_order.hpp"
 #include "settings/settings.hpp"
 
 #include <bergamotusher/ids.hpp>
@@ -49,14 +50,11 @@
     std::string_view bytes,
     time_point now);
 
-/// Entries that a caller may be given now.
-std::vector<const peer*> usable_entries(const entry_view& view, time_point now);
+/// All entries as the order for callers takes them.
+std::vector<membership::entry_address>
+entry_addresses(const entry_view& view, time_point now);
 
 /// Entries that can take requests over, those with the fewest open first.
 std::vector<node_id> successors(const entry_view& view, time_point now);
 
-/// The JSON of `GET /v1/entries` for `account`.
-std::string entries_json(
-    const std::vector<const peer*>& usable, const account_id& account);
-
 } // namespace bergamotusher
--- a/src/daemon/serving_duty.cpp
+++ b/src/daemon/serving_duty.cpp
@@ -5,11 +5,12 @@
 #include "daemon/supervisor.hpp"
 #include "daemon/upstream_view.hpp"
 #include "routing/prefix.hpp"
-#include "serving/life_cycle.hpp"
 #include "wire/directory_codec.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+
 namespace bergamotusher
 {
 
@@ -18,6 +19,8 @@
 
 constexpr duration tick_interval = 10ms;
 constexpr duration gossip_interval = 200ms;
+// For answers that callers got just before this entry left them.
+constexpr duration address_margin = 500ms;
 
 // Runs when `interval` has passed since it last ran.
 struct pacer
@@ -78,6 +81,9 @@
         std::make_shared<configuration>();
     time_point may_accept_until;
     bool draining = false;
+    std::optional<time_point> instance_ends;
+    /// When a draining entry begins to refuse new requests.
+    std::optional<time_point> refuse_from;
     pacer gossip{gossip_interval, {}};
     pacer report{entry_report_interval, {}};
     published<serving_view> shown;
@@ -185,12 +191,12 @@
 {
     serving_view view;
     view.upstreams = upstreams_json(duty.view, at);
-    for (const peer* one : usable_entries(duty.entries, at))
-        view.usable_entries.push_back(*one);
+    view.entries = entry_addresses(duty.entries, at);
     view.open_requests = duty.requests.open_count;
     view.revision = duty.config->revision;
     view.ready = at < duty.may_accept_until;
     view.draining = duty.draining;
+    view.counters = duty.requests.counters;
     duty.shown.store(std::move(view));
 }
 
@@ -223,6 +229,14 @@
         send_delta(duty, at);
     if (duty.report.due(at))
         report_self(duty, at);
+    if (duty.refuse_from && at >= *duty.refuse_from)
+    {
+        duty.refuse_from.reset();
+        feed(
+            duty,
+            drain_started{
+                duty.instance_ends, successors(duty.entries, at)});
+    }
     feed(duty, tick{});
 }
 
@@ -330,11 +344,17 @@
 
 void serving_duty::drain(std::optional<time_point> deadline)
 {
-    state_->draining = true;
-    report_self(*state_, now());
-    feed(
-        *state_,
-        drain_started{deadline, successors(state_->entries, now())});
+    duty_state& duty = *state_;
+    if (duty.draining)
+        return;
+    const time_point at = now();
+    duty.draining = true;
+    duty.instance_ends = deadline;
+    duty.refuse_from = at + membership::entry_ttl + address_margin;
+    if (deadline)
+        duty.refuse_from =
+            std::min(*duty.refuse_from, at + (*deadline - at) / 2);
+    report_self(duty, at);
 }
 
 std::shared_ptr<const serving_view> serving_duty::shown() const
--- a/src/daemon/serving_duty.hpp
+++ b/src/daemon/serving_duty.hpp
@@ -9,6 +9,7 @@
 #include "daemon/entry_view.hpp"
 #include "daemon/events_duty.hpp"
 #include "daemon/peer_message.hpp"
+#include "serving/life_cycle.hpp"
 #include "settings/settings.hpp"
 
 #include <bergamotusher/control.hpp>
@@ -49,12 +50,12 @@
 struct serving_view
 {
     std::string upstreams = R"({"upstreams":[]})";
-    std::vector<peer> usable_entries;
+    std::vector<membership::entry_address> entries;
     std::uint64_t open_requests = 0;
     std::uint64_t revision = 0;
     bool ready = false;
     bool draining = false;
-    std::string counters;
+    serving::life_cycle_counters counters;
 };
 
 /// The duty's state. Belongs to its loop; only `shown` is for other threads.
@@ -74,7 +75,9 @@
     void take(peer_message&& message);
     void take(const reclaim_notice& notice);
 
-    /// Takes no new work; finishes or hands over what was accepted.
+    /// Is not handed out to callers from now on, serves those that still hold
+    /// its address, then takes no new work, and finishes or hands over what
+    /// was accepted. `deadline` is when the instance goes, if known.
     void drain(std::optional<time_point> deadline);
 
     std::shared_ptr<const serving_view> shown() const;
