--- a/include/bergamotusher/serving.hpp
+++ b/include/bergamotusher/serving.hpp
@@ -181,6 +181,10 @@
     /// Time left until the first deadline.
     duration time_left{};
     node_id from;
+    /// The version that the text came from; empty if there is none.
+    version_name version;
+    /// Attempts that failed so far; the limit holds over entries.
+    std::uint32_t failed_attempts = 0;
 };
 
 /// The answer to `hand_over`: the successor has it, or does not.
--- a/src/serving/hand_over.cpp
+++ b/src/serving/hand_over.cpp
@@ -54,6 +54,8 @@
     state.delivered = pieces_of(request.produced);
     state.time_left = request.deadline - scope.now;
     state.from = scope.state.options.node;
+    state.version = request.version;
+    state.failed_attempts = request.charged_attempts;
     return state;
 }
 
@@ -73,6 +75,8 @@
     for (const std::string& piece : input.delivered)
         append(request.produced, piece);
     request.emitted = request.produced.count();
+    request.version = input.version;
+    request.charged_attempts = input.failed_attempts;
     request.may_have_run = true;
     request.abandoned = scope.now;
     scope.state.requests[request.request.id] = std::move(made);
