--- a/src/serving/quarantine.cpp
+++ b/src/serving/quarantine.cpp
@@ -231,6 +231,8 @@
 void note_ended_well(quarantine_state& state, const std::string& fingerprint)
 {
     state.suspects.erase(fingerprint);
+    for (possible_death& death : state.possible)
+        death.suspects.erase(fingerprint);
 }
 
 std::vector<crash_verdict> judge(quarantine_state& state, time_point now)
--- a/src/serving/request_state.hpp
+++ b/src/serving/request_state.hpp
@@ -93,7 +93,7 @@
 
     time_point accepted;
     time_point deadline;
-    request_phase phase = request_phase::waiting;
+    request_phase phase = request_phase::holding;
     std::optional<running_attempt> attempt;
 
     delivered_text produced;
