--- a/tests/serving/drain_test.cpp
+++ b/tests/serving/drain_test.cpp
@@ -128,6 +128,7 @@
     const fake_caller& caller = send(w, stream_request("race", 12));
     run_for(w, 100ms);
     drain(w, duration(2s));
+    feed(w, 0, tick{});
     REQUIRE(w.entries[0].requests.at({"r-race"})->handing_over.has_value());
     const fake_attempt attempt = w.attempts.begin()->second;
     const std::uint64_t first = w.callers["r-race"].last_event;
