--- a/tests/serving/order_test.cpp
+++ b/tests/serving/order_test.cpp
@@ -180,12 +180,12 @@
 TEST_CASE("When the journal's answers are lost, the record is released")
 {
     world w;
-    w.journal_answers_lost = true;
+    w.journal_answers_lost = 100;
     send(w, order_request("one", "k1"));
     run_until_answered(w, 10s);
     check_error(w.callers["r-one"], error_kind::no_quorum, run_claim::not_run);
     CHECK(w.journal.empty());
-    w.journal_answers_lost = false;
+    w.journal_answers_lost = 0;
     send(w, order_request("two", "k1"));
     run_until_answered(w, 10s);
     check_done(w.callers["r-two"]);
@@ -195,9 +195,8 @@
 TEST_CASE("A lost answer of the journal is asked for again")
 {
     world w;
-    w.journal_answers_lost = true;
+    w.journal_answers_lost = 1;
     send(w, order_request("one", "k1"));
-    w.journal_answers_lost = false;
     run_until_answered(w, 10s);
     check_done(w.callers["r-one"]);
     CHECK(w.runs["order k1"] == 1);
--- a/tests/serving/world.cpp
+++ b/tests/serving/world.cpp
@@ -102,9 +102,13 @@
         action.request, action.record.attempt, std::nullopt, false};
     if (w.quorum)
         answer.result = begin(w, action.record);
-    if (w.journal_answers_lost)
+    const bool lost = w.journal_answers_lost > 0;
+    w.journal_answers_lost -= lost;
+    if (lost)
         answer = {action.request, action.record.attempt, std::nullopt, true};
     at_step(w, life_step::after_record, 0, none);
+    if (w.journal_answers_doubled-- > 0)
+        later(w, journal_delay, entry, answer);
     later(w, journal_delay, entry, std::move(answer));
 }
 
@@ -284,6 +288,7 @@
 {
     if (attempt.cut || attempt.mute)
         return;
+    w.history.push_back({w.now, attempt.entry, input});
     const bool twice = attempt.twice;
     const std::size_t entry = attempt.entry;
     feed(w, entry, input);
@@ -410,7 +415,10 @@
 } // namespace
 
 world::world(std::size_t count)
-    : config(make_configuration()), entries(count), drained_entries(count)
+    : config(make_configuration())
+    , entries(count)
+    , drained_entries(count)
+    , restarts(count)
 {
     for (std::size_t i = 0; i < count; ++i)
     {
@@ -475,9 +483,12 @@
         { return choose(w, question); },
         wall_time{},
         {}};
+    const int life = w.restarts[entry];
     for (const serving_action& action :
          serving::step(w.entries[entry], input, context, w.now))
     {
+        if (life != w.restarts[entry])
+            return;
         w.log.push_back(action);
         std::visit(
             [&](const auto& value) { carry_out(w, entry, value); }, action);
@@ -539,6 +550,25 @@
     target.listed = false;
 }
 
+void restart_entry(world& w, std::size_t entry)
+{
+    const serving::life_cycle_options options = w.entries[entry].options;
+    w.entries[entry] = {};
+    w.entries[entry].options = options;
+    ++w.entries[entry].options.incarnation;
+    ++w.restarts[entry];
+    std::erase_if(
+        w.attempts,
+        [entry](const auto& item) { return item.second.entry == entry; });
+    std::erase_if(
+        w.pending,
+        [entry](const pending_input& item) { return item.entry == entry; });
+    for (auto& [key, record] : w.journal)
+        if (record.owner == options.node &&
+            record.state == journal_state::in_flight)
+            record.state = journal_state::unknown;
+}
+
 void freeze(world& w, const upstream_id& id)
 {
     w.upstreams[id].frozen = true;
--- a/tests/serving/world.hpp
+++ b/tests/serving/world.hpp
@@ -91,6 +91,8 @@
     std::shared_ptr<configuration> config;
     std::vector<serving::life_cycle> entries;
     std::vector<bool> drained_entries;
+    /// Grows when an entry's process dies; what it asked for last is lost.
+    std::vector<int> restarts;
     std::map<upstream_id, fake_upstream> upstreams;
     std::map<attempt_id, fake_attempt> attempts;
     std::map<std::string, fake_caller> callers;
@@ -101,7 +103,9 @@
     std::map<journal_key, journal_record> journal;
     std::set<attempt_id> released;
     bool quorum = true;
-    bool journal_answers_lost = false;
+    /// Answers of the journal that are still to be lost, or to come twice.
+    int journal_answers_lost = 0;
+    int journal_answers_doubled = 0;
     bool finishes_lost = false;
     bool successors_decline = false;
 
@@ -110,6 +114,8 @@
     std::map<std::string, int> dispatches;
     std::vector<choice_request> questions;
     std::vector<serving_action> log;
+    /// What attempts told, to be told again late.
+    std::vector<pending_input> history;
     /// Called at each step of each attempt.
     std::function<void(life_step, std::uint64_t, fake_attempt&)> hook;
 };
@@ -133,6 +139,8 @@
 
 /// The process dies; the directory learns of it a little later.
 void kill(world& w, const upstream_id& id, bool domain_lost = false);
+/// The entry's process dies and starts anew; the journal learns of it.
+void restart_entry(world& w, std::size_t entry);
 /// The process stops without dying; its announcement is not renewed.
 void freeze(world& w, const upstream_id& id);
 /// Breaks the connection of one attempt.
