--- a/tests/serving/fault_matrix_test.cpp
+++ b/tests/serving/fault_matrix_test.cpp
@@ -184,7 +184,7 @@
     if (probe.error)
     {
         if (probe.error->run == run_claim::not_run)
-            return runs == 0 && w.dispatches["probe"] == 0 ? "not run" : "";
+            return runs == 0 && w.accepted["probe"] == 0 ? "not run" : "";
         return probe.error->error.kind == error_kind::quarantined
                    ? "quarantined"
                    : "unknown";
--- a/tests/serving/interleaving_test.cpp
+++ b/tests/serving/interleaving_test.cpp
@@ -34,6 +34,12 @@
     std::uint32_t pause_ms;
 };
 
+std::ostream& operator<<(std::ostream& out, const moment& m)
+{
+    return out << static_cast<int>(m.what) << '/' << m.pick << '/'
+               << m.pause_ms;
+}
+
 constexpr std::uint32_t most_deaths = 2;
 
 rc::Gen<moment> any_moment()
@@ -190,7 +196,7 @@
     else if (!caller.error)
         RC_ASSERT(caller.text == expected_text(prompt, length_of(caller)));
     else if (!is_order && caller.error->run == run_claim::not_run)
-        RC_ASSERT(!w.dispatches.contains(prompt));
+        RC_ASSERT(!w.accepted.contains(prompt));
 }
 
 /// A first sending that was refused as not run did not run.
--- a/tests/serving/world.cpp
+++ b/tests/serving/world.cpp
@@ -332,6 +332,7 @@
             attempt_failed{id, attempt_failure::connection_refused, 0, {}});
     }
     attempt.accepted = true;
+    ++w.accepted[attempt.prompt];
     if (attempt.sent.kind == upstream_kind::plain)
         ++w.runs[attempt.prompt];
     attempt.due = w.now + target.gap;
--- a/tests/serving/world.hpp
+++ b/tests/serving/world.hpp
@@ -109,9 +109,11 @@
     bool finishes_lost = false;
     bool successors_decline = false;
 
-    /// How often each order was run, and each prompt dispatched.
+    /// How often each order was run, and each prompt was dispatched and
+    /// accepted by an upstream.
     std::map<std::string, int> runs;
     std::map<std::string, int> dispatches;
+    std::map<std::string, int> accepted;
     std::vector<choice_request> questions;
     std::vector<serving_action> log;
     /// What attempts told, to be told again late.
