--- a/src/daemon/serving_duty.cpp
+++ b/src/daemon/serving_duty.cpp
@@ -4,8 +4,10 @@
 #include "daemon/outbox.hpp"
 #include "daemon/supervisor.hpp"
 #include "daemon/upstream_view.hpp"
+#include "daemon/version_watch.hpp"
 #include "routing/prefix.hpp"
 #include "wire/directory_codec.hpp"
+#include "wire/serving_codec.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -19,6 +21,7 @@
 
 constexpr duration tick_interval = 10ms;
 constexpr duration gossip_interval = 200ms;
+constexpr duration evidence_interval = 250ms;
 // For answers that callers got just before this entry left them.
 constexpr duration address_margin = 500ms;
 
@@ -51,8 +54,6 @@
         , incarnation(start)
         , callers(loop, links.callers)
         , upstreams(loop, links.upstreams)
-        , control(loop, links.control)
-        , peers(loop, links.peers)
         , timer(loop)
     {
         requests.options.node = node;
@@ -69,14 +70,16 @@
     std::uint64_t incarnation;
     outbox<serving_action> callers;
     outbox<serving_action> upstreams;
-    outbox<proposal> control;
-    outbox<peer_message> peers;
     boost::asio::steady_timer timer;
 
     serving::life_cycle requests;
     upstream_view view;
     journal_port journal;
     entry_view entries;
+    version_watch versions;
+    /// As committed; `config` is the same without versions stopped here.
+    std::shared_ptr<const configuration> committed =
+        std::make_shared<configuration>();
     std::shared_ptr<const configuration> config =
         std::make_shared<configuration>();
     time_point may_accept_until;
@@ -86,6 +89,8 @@
     std::optional<time_point> refuse_from;
     pacer gossip{gossip_interval, {}};
     pacer report{entry_report_interval, {}};
+    pacer evidence{evidence_interval, {}};
+    std::uint64_t malformed_messages = 0;
     published<serving_view> shown;
 };
 
@@ -103,7 +108,10 @@
         [&duty](const choice_request& request, time_point at)
         { return choose(duty.view, request, at); },
         wall_now(),
-        [](std::string_view body) { return routing::prefix_blocks(body); }};
+        [](std::string_view body)
+        {
+            return routing::prefix_blocks(body);
+        }};
     for (serving_action& action :
          serving::step(duty.requests, input, context, now()))
         carry_out(duty, std::move(action));
@@ -115,7 +123,9 @@
     wire::message_kind kind,
     std::string body)
 {
-    duty.peers.send({to, kind, std::move(body)});
+    // A message that is lost here is counted there, and made good by the
+    // next one or by a time limit.
+    bergamotusher::send(duty.links.peers, {to, kind, std::move(body)});
 }
 
 void send_all_peers(
@@ -131,18 +141,78 @@
     duty.links.events.record(std::move(happened));
 }
 
+// An upstream that was reclaimed, or lost with its failure domain, is no
+// evidence against the version that it ran.
+void excuse_upstream(duty_state& duty, const serving_input& input)
+{
+    if (const auto* leaves = std::get_if<upstream_leaves>(&input))
+        rollout::excuse(duty.versions.recorder, leaves->target, now());
+    const auto* gone = std::get_if<upstream_gone>(&input);
+    if (gone != nullptr && gone->domain_lost)
+        rollout::excuse(duty.versions.recorder, gone->target, now());
+}
+
 void take_changes(duty_state& duty, view_changes&& changes)
 {
     for (event& happened : changes.events)
         record(duty, std::move(happened));
     for (const serving_input& input : changes.inputs)
+    {
+        excuse_upstream(duty, input);
         feed(duty, input);
+    }
+}
+
+void take_observed(duty_state& duty, attempt_observed& seen)
+{
+    const time_point at = now();
+    const auto* entry = membership::find(duty.view.directory, seen.target);
+    if (entry != nullptr)
+        seen.key.band = band_of(
+            utilisation(duty.view, entry->value, at) * entry->value.slots,
+            entry->value.slots);
+    note(duty.view, seen, at);
+    rollout::observe(duty.versions.recorder, seen, at);
+}
+
+void take_answer(duty_state& duty, const proposal_answer& answer)
+{
+    auto news = take(duty.journal, answer, now());
+    if (news.event_to_record)
+        record(duty, std::move(*news.event_to_record));
+    if (news.input)
+        feed(duty, *news.input);
+}
+
+void send_proposal(duty_state& duty, proposal wanted)
+{
+    const std::uint64_t ticket = wanted.ticket;
+    if (!duty.links.propose(std::move(wanted)))
+        take_answer(duty, {ticket, proposal_outcome::not_committed, "", 0});
 }
 
 template<class Journal>
 void propose_journal(duty_state& duty, const Journal& action)
 {
-    duty.control.send(propose(duty.journal, action, wall_now(), now()));
+    send_proposal(duty, propose(duty.journal, action, wall_now(), now()));
+}
+
+// Carries out what other entries are told; false if `action` is not that.
+bool tell_peers(duty_state& duty, const serving_action& action)
+{
+    if (const auto* given = std::get_if<hand_over>(&action))
+        send_peer(
+            duty,
+            given->successor,
+            wire::hand_over,
+            wire::encode(given->state));
+    else if (const auto* reply = std::get_if<hand_over_reply>(&action))
+        send_peer(duty, reply->to, wire::hand_over_reply, wire::encode(*reply));
+    else if (const auto* crash = std::get_if<report_crash>(&action))
+        send_all_peers(duty, wire::crash_report, wire::encode(*crash));
+    else
+        return false;
+    return true;
 }
 
 void carry_out(duty_state& duty, serving_action&& action)
@@ -163,13 +233,13 @@
         note(duty.view, *unwanted, now());
         duty.upstreams.send(std::move(action));
     }
-    else if (const auto* seen = std::get_if<attempt_observed>(&action))
-        note(duty.view, *seen, now());
+    else if (auto* seen = std::get_if<attempt_observed>(&action))
+        take_observed(duty, *seen);
     else if (auto* happened = std::get_if<record_event>(&action))
         record(duty, std::move(happened->value));
     else if (std::holds_alternative<drained>(action))
         duty.links.on_drained();
-    else
+    else if (!tell_peers(duty, action))
         duty.callers.send(std::move(action));
 }
 
@@ -191,6 +261,11 @@
 {
     serving_view view;
     view.upstreams = upstreams_json(duty.view, at);
+    for (const auto& [id, entry] : duty.view.directory.entries)
+        view.for_moves.push_back(
+            {entry.value,
+             membership::may_take_work(entry, at),
+             utilisation(duty.view, entry.value, at)});
     view.entries = entry_addresses(duty.entries, at);
     view.open_requests = duty.requests.open_count;
     view.revision = duty.config->revision;
@@ -219,23 +294,48 @@
     send_all_peers(duty, wire::directory, wire::encode(delta));
 }
 
+void report_evidence(duty_state& duty, time_point at)
+{
+    watch_result result = collect(duty.versions, *duty.committed, at);
+    if (result.changed)
+    {
+        duty.config = without_stopped(duty.committed, duty.versions.stopped);
+        for (const auto& [service, version] : duty.versions.stopped)
+        {
+            event happened;
+            happened.kind = event_kind::version_stopped;
+            happened.detail = service.value + " " + version.value;
+            record(duty, std::move(happened));
+        }
+    }
+    if (!result.report)
+        return;
+    const node_id leader = duty.links.leader();
+    if (leader == duty.node)
+        duty.links.moves.push({duty.node, std::move(*result.report)});
+    else if (!leader.empty())
+        send_peer(
+            duty, leader, wire::evidence, rollout::encode(*result.report));
+}
+
 void on_tick(duty_state& duty)
 {
     const time_point at = now();
     take_changes(duty, expire(duty.view, at));
     for (proposal& again : due(duty.journal, at))
-        duty.control.send(std::move(again));
+        send_proposal(duty, std::move(again));
     if (duty.gossip.due(at))
         send_delta(duty, at);
     if (duty.report.due(at))
         report_self(duty, at);
+    if (duty.evidence.due(at))
+        report_evidence(duty, at);
     if (duty.refuse_from && at >= *duty.refuse_from)
     {
         duty.refuse_from.reset();
         feed(
             duty,
-            drain_started{
-                duty.instance_ends, successors(duty.entries, at)});
+            drain_started{duty.instance_ends, successors(duty.entries, at)});
     }
     feed(duty, tick{});
 }
@@ -253,19 +353,32 @@
         });
 }
 
-void take_directory(duty_state& duty, const peer_message& message)
+// Feeds a decoded message; one that cannot be read is dropped.
+template<class Input>
+void feed_decoded(duty_state& duty, const std::variant<Input, failure>& decoded)
+{
+    if (const auto* input = std::get_if<Input>(&decoded))
+        feed(duty, *input);
+    else
+        ++duty.malformed_messages;
+}
+
+void take_directory(duty_state& duty, const incoming_message& message)
 {
     const auto parsed = wire::decode_directory_delta(message.body);
     const auto* delta = std::get_if<membership::directory_delta>(&parsed);
     if (delta == nullptr)
+    {
+        ++duty.malformed_messages;
         return;
+    }
     std::optional<membership::directory_delta> answer;
     take_changes(
         duty,
         take_delta(
             duty.view, *delta, duty.node, duty.incarnation, answer, now()));
     if (answer)
-        send_peer(duty, message.peer, wire::directory, wire::encode(*answer));
+        send_peer(duty, message.from, wire::directory, wire::encode(*answer));
 }
 
 } // namespace
@@ -297,8 +410,7 @@
 
 void serving_duty::take(upstream_message&& message)
 {
-    take_changes(
-        *state_, bergamotusher::take(state_->view, message, now()));
+    take_changes(*state_, bergamotusher::take(state_->view, message, now()));
 }
 
 void serving_duty::take(control_news&& news)
@@ -306,29 +418,46 @@
     duty_state& duty = *state_;
     if (const auto* applied = std::get_if<configuration_applied>(&news))
     {
-        if (applied->value->revision < duty.config->revision)
+        if (applied->value->revision < duty.committed->revision)
             return;
-        duty.config = applied->value;
+        duty.committed = applied->value;
+        duty.config = without_stopped(duty.committed, duty.versions.stopped);
+        event happened;
+        happened.kind = event_kind::configuration_applied;
+        happened.number = duty.committed->revision;
+        record(duty, std::move(happened));
     }
     else if (const auto* lease = std::get_if<configuration_lease>(&news))
         duty.may_accept_until = lease->valid_until;
     else
-    {
-        auto answer = bergamotusher::take(
-            duty.journal, std::get<proposal_answer>(news), now());
-        if (answer.event_to_record)
-            record(duty, std::move(*answer.event_to_record));
-        if (answer.input)
-            feed(duty, *answer.input);
-    }
+        take_answer(duty, std::get<proposal_answer>(news));
 }
 
-void serving_duty::take(peer_message&& message)
+void serving_duty::take(incoming_message&& message)
 {
-    if (message.kind == wire::directory)
-        take_directory(*state_, message);
-    else if (message.kind == wire::entry_status)
-        take_report(state_->entries, message.peer, message.body, now());
+    duty_state& duty = *state_;
+    switch (message.kind)
+    {
+    case wire::directory:
+        take_directory(duty, message);
+        break;
+    case wire::entry_status:
+        if (!take_report(duty.entries, message.from, message.body, now()))
+            ++duty.malformed_messages;
+        break;
+    case wire::hand_over:
+        feed_decoded(
+            duty, wire::decode_handed_over(message.body, message.from));
+        break;
+    case wire::hand_over_reply:
+        feed_decoded(duty, wire::decode_hand_over_answered(message.body));
+        break;
+    case wire::crash_report:
+        feed_decoded(duty, wire::decode_crash_reported(message.body));
+        break;
+    default:
+        ++duty.malformed_messages;
+    }
 }
 
 void serving_duty::take(const reclaim_notice& notice)
@@ -336,10 +465,7 @@
     take_changes(
         *state_,
         take_notice(
-            state_->view,
-            {notice.instance},
-            notice.domain,
-            notice.deadline));
+            state_->view, {notice.instance}, notice.domain, notice.deadline));
 }
 
 void serving_duty::drain(std::optional<time_point> deadline)
--- a/src/daemon/serving_duty.hpp
+++ b/src/daemon/serving_duty.hpp
@@ -8,7 +8,8 @@
 #include "daemon/admin_duty.hpp"
 #include "daemon/entry_view.hpp"
 #include "daemon/events_duty.hpp"
-#include "daemon/peer_message.hpp"
+#include "daemon/moves_duty.hpp"
+#include "daemon/peers_duty.hpp"
 #include "serving/life_cycle.hpp"
 #include "settings/settings.hpp"
 
@@ -39,9 +40,14 @@
 {
     mailbox<serving_action>& callers;
     mailbox<serving_action>& upstreams;
-    mailbox<proposal>& control;
-    mailbox<peer_message>& peers;
+    /// Hands a proposal to the control duty; false if it cannot.
+    std::function<bool(proposal)> propose;
+    peers_sender& peers;
     events_port& events;
+    /// The control leader, as far as it is known; any thread.
+    std::function<node_id()> leader;
+    /// Hands evidence to this process's own moves duty.
+    mailbox<entry_evidence>& moves;
     /// Runs once, on the duty's loop, when nothing accepted is left.
     std::function<void()> on_drained;
 };
@@ -50,6 +56,7 @@
 struct serving_view
 {
     std::string upstreams = R"({"upstreams":[]})";
+    std::vector<move_upstream> for_moves;
     std::vector<membership::entry_address> entries;
     std::uint64_t open_requests = 0;
     std::uint64_t revision = 0;
@@ -72,7 +79,7 @@
     void take(serving_input&& input);
     void take(upstream_message&& message);
     void take(control_news&& news);
-    void take(peer_message&& message);
+    void take(incoming_message&& message);
     void take(const reclaim_notice& notice);
 
     /// Is not handed out to callers from now on, serves those that still hold
--- a/tests/serving/world.hpp
+++ b/tests/serving/world.hpp
@@ -129,6 +129,13 @@
 /// The text that `prompt` is answered with.
 std::string expected_text(const std::string& prompt, std::uint64_t length);
 
+/// One piece of that text.
+std::string piece_of(const std::string& prompt, std::uint64_t index);
+
+/// Feeds `input` when `span` has passed.
+void later(world& w, duration span, std::size_t entry, serving_input input);
+/// Tells the hook that `at` came to a step.
+void at_step(world& w, life_step step, std::uint64_t index, fake_attempt& at);
 /// Feeds an input and carries the actions out.
 void feed(world& w, std::size_t entry, const serving_input& input);
 /// A caller sends its request to an entry.
