--- a/src/serving/attempts.cpp
+++ b/src/serving/attempts.cpp
@@ -127,7 +127,9 @@
 
 void retry(step_scope& scope, request_state& request, attempt_failure reason)
 {
-    if (++request.charged_attempts >= scope.state.options.limits.attempts)
+    const bool spent =
+        ++request.charged_attempts >= scope.state.options.limits.attempts;
+    if (spent || request.retry_percent == 0)
         return fail(scope, request, error_for(reason));
     if (reached_limit(request))
         return finish(scope, request, limit_answer(request));
--- a/tests/serving/world.cpp
+++ b/tests/serving/world.cpp
@@ -61,6 +61,16 @@
             refused.entry,
             attempt_failed{id, attempt_failure::connection_refused, 0, {}});
     }
+    if (target.failing)
+    {
+        const fake_attempt failed = attempt;
+        w.attempts.erase(id);
+        ++w.accepted[failed.prompt];
+        return feed(
+            w,
+            failed.entry,
+            attempt_failed{id, attempt_failure::server_error, 500, {}});
+    }
     attempt.accepted = true;
     ++w.accepted[attempt.prompt];
     if (attempt.sent.kind == upstream_kind::plain)
--- a/tests/serving/world.hpp
+++ b/tests/serving/world.hpp
@@ -37,6 +37,8 @@
     /// It takes connections and requests, and nothing ever comes back.
     bool frozen = false;
     bool refusing = false;
+    /// It answers every request with an error of its own.
+    bool failing = false;
     /// The directory has it, and does not say that it leaves.
     bool listed = true;
     duration gap = 20ms;
