--- a/tests/serving/world.hpp
+++ b/tests/serving/world.hpp
@@ -37,6 +37,8 @@
     /// It takes connections and requests, and nothing ever comes back.
     bool frozen = false;
     bool refusing = false;
+    /// It answers every request with an error of its own.
+    bool failing = false;
     /// The directory has it, and does not say that it leaves.
     bool listed = true;
     duration gap = 20ms;
@@ -91,6 +93,8 @@
     std::shared_ptr<configuration> config;
     std::vector<serving::life_cycle> entries;
     std::vector<bool> drained_entries;
+    /// Grows when an entry's process dies; what it asked for last is lost.
+    std::vector<int> restarts;
     std::map<upstream_id, fake_upstream> upstreams;
     std::map<attempt_id, fake_attempt> attempts;
     std::map<std::string, fake_caller> callers;
@@ -101,15 +105,21 @@
     std::map<journal_key, journal_record> journal;
     std::set<attempt_id> released;
     bool quorum = true;
-    bool journal_answers_lost = false;
+    /// Answers of the journal that are still to be lost, or to come twice.
+    int journal_answers_lost = 0;
+    int journal_answers_doubled = 0;
     bool finishes_lost = false;
     bool successors_decline = false;
 
-    /// How often each order was run, and each prompt dispatched.
+    /// How often each order was run, and each prompt was dispatched and
+    /// accepted by an upstream.
     std::map<std::string, int> runs;
     std::map<std::string, int> dispatches;
+    std::map<std::string, int> accepted;
     std::vector<choice_request> questions;
     std::vector<serving_action> log;
+    /// What attempts told, to be told again late.
+    std::vector<pending_input> history;
     /// Called at each step of each attempt.
     std::function<void(life_step, std::uint64_t, fake_attempt&)> hook;
 };
@@ -121,6 +131,13 @@
 /// The text that `prompt` is answered with.
 std::string expected_text(const std::string& prompt, std::uint64_t length);
 
+/// One piece of that text.
+std::string piece_of(const std::string& prompt, std::uint64_t index);
+
+/// Feeds `input` when `span` has passed.
+void later(world& w, duration span, std::size_t entry, serving_input input);
+/// Tells the hook that `at` came to a step.
+void at_step(world& w, life_step step, std::uint64_t index, fake_attempt& at);
 /// Feeds an input and carries the actions out.
 void feed(world& w, std::size_t entry, const serving_input& input);
 /// A caller sends its request to an entry.
@@ -133,6 +150,8 @@
 
 /// The process dies; the directory learns of it a little later.
 void kill(world& w, const upstream_id& id, bool domain_lost = false);
+/// The entry's process dies and starts anew; the journal learns of it.
+void restart_entry(world& w, std::size_t entry);
 /// The process stops without dying; its announcement is not renewed.
 void freeze(world& w, const upstream_id& id);
 /// Breaks the connection of one attempt.
