--- /dev/null
+++ b/src/daemon/entry_view.cpp
@@ -0,0 +1,68 @@
+#include "daemon/entry_view.hpp"
+
+#include "wire/entry.pb.h"
+
+#include <algorithm>
+
+namespace bergamotusher
+{
+
+std::string
+encode_report(bool draining, bool ready, std::uint32_t open_requests)
+{
+    wire::entry_report report;
+    report.set_draining(draining);
+    report.set_ready(ready);
+    report.set_open_requests(open_requests);
+    return report.SerializeAsString();
+}
+
+bool take_report(
+    entry_view& view,
+    const node_id& from,
+    std::string_view bytes,
+    time_point now)
+{
+    wire::entry_report report;
+    if (!report.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return false;
+    view.status[from] = {
+        report.draining(), report.ready(), report.open_requests(), now};
+    return true;
+}
+
+std::vector<membership::entry_address>
+entry_addresses(const entry_view& view, time_point now)
+{
+    std::vector<membership::entry_address> result;
+    for (const peer& one : view.entries)
+    {
+        membership::entry_address address{
+            one.id, to_string(one.entry), one.domain, false, false};
+        const auto found = view.status.find(one.id);
+        if (found != view.status.end())
+        {
+            const entry_status& status = found->second;
+            address.draining = status.draining;
+            address.alive =
+                status.ready && now - status.heard <= entry_report_lifetime;
+        }
+        result.push_back(std::move(address));
+    }
+    return result;
+}
+
+std::vector<node_id> successors(const entry_view& view, time_point now)
+{
+    std::vector<std::pair<std::uint32_t, node_id>> found;
+    for (const auto& one : entry_addresses(view, now))
+        if (one.id != view.self && one.alive && !one.draining)
+            found.emplace_back(view.status.at(one.id).open_requests, one.id);
+    std::sort(found.begin(), found.end());
+    std::vector<node_id> result;
+    for (auto& [open, id] : found)
+        result.push_back(std::move(id));
+    return result;
+}
+
+} // namespace bergamotusher
--- /dev/null
+++ b/src/daemon/serving_duty.cpp
@@ -0,0 +1,491 @@
+#include "daemon/serving_duty.hpp"
+
+#include "daemon/journal_port.hpp"
+#include "daemon/outbox.hpp"
+#include "daemon/supervisor.hpp"
+#include "daemon/upstream_view.hpp"
+#include "daemon/version_watch.hpp"
+#include "routing/prefix.hpp"
+#include "wire/directory_codec.hpp"
+#include "wire/serving_codec.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+
+namespace bergamotusher
+{
+
+namespace
+{
+
+constexpr duration tick_interval = 10ms;
+constexpr duration gossip_interval = 200ms;
+constexpr duration evidence_interval = 250ms;
+// For answers that callers got just before this entry left them.
+constexpr duration address_margin = 500ms;
+
+// Runs when `interval` has passed since it last ran.
+struct pacer
+{
+    duration interval;
+    time_point last;
+
+    bool due(time_point at)
+    {
+        if (at - last < interval)
+            return false;
+        last = at;
+        return true;
+    }
+};
+
+} // namespace
+
+struct serving_duty::state_data
+{
+    state_data(
+        boost::asio::io_context& loop,
+        const settings& values,
+        std::uint64_t start,
+        serving_links l)
+        : links(std::move(l))
+        , node(values.node)
+        , incarnation(start)
+        , callers(loop, links.callers)
+        , upstreams(loop, links.upstreams)
+        , timer(loop)
+    {
+        requests.options.node = node;
+        requests.options.incarnation = start;
+        requests.options.seed = start;
+        journal.node = node;
+        journal.incarnation = start;
+        entries.self = node;
+        entries.entries = values.peers;
+    }
+
+    serving_links links;
+    node_id node;
+    std::uint64_t incarnation;
+    outbox<serving_action> callers;
+    outbox<serving_action> upstreams;
+    boost::asio::steady_timer timer;
+
+    serving::life_cycle requests;
+    upstream_view view;
+    journal_port journal;
+    entry_view entries;
+    version_watch versions;
+    /// As committed; `config` is the same without versions stopped here.
+    std::shared_ptr<const configuration> committed =
+        std::make_shared<configuration>();
+    std::shared_ptr<const configuration> config =
+        std::make_shared<configuration>();
+    time_point may_accept_until;
+    bool draining = false;
+    std::optional<time_point> instance_ends;
+    /// When a draining entry begins to refuse new requests.
+    std::optional<time_point> refuse_from;
+    pacer gossip{gossip_interval, {}};
+    pacer report{entry_report_interval, {}};
+    pacer evidence{evidence_interval, {}};
+    std::uint64_t malformed_messages = 0;
+    published<serving_view> shown;
+};
+
+namespace
+{
+
+using duty_state = serving_duty::state_data;
+
+void carry_out(duty_state& duty, serving_action&& action);
+
+void feed(duty_state& duty, const serving_input& input)
+{
+    const serving::serving_context context{
+        duty.config,
+        [&duty](const choice_request& request, time_point at)
+        { return choose(duty.view, request, at); },
+        wall_now(),
+        [](std::string_view body)
+        {
+            return routing::prefix_blocks(body);
+        }};
+    for (serving_action& action :
+         serving::step(duty.requests, input, context, now()))
+        carry_out(duty, std::move(action));
+}
+
+void send_peer(
+    duty_state& duty,
+    const node_id& to,
+    wire::message_kind kind,
+    std::string body)
+{
+    // A message that is lost here is counted there, and made good by the
+    // next one or by a time limit.
+    bergamotusher::send(duty.links.peers, {to, kind, std::move(body)});
+}
+
+void send_all_peers(
+    duty_state& duty, wire::message_kind kind, const std::string& body)
+{
+    for (const peer& one : duty.entries.entries)
+        if (one.id != duty.node)
+            send_peer(duty, one.id, kind, body);
+}
+
+void record(duty_state& duty, event happened)
+{
+    duty.links.events.record(std::move(happened));
+}
+
+// An upstream that was reclaimed, or lost with its failure domain, is no
+// evidence against the version that it ran.
+void excuse_upstream(duty_state& duty, const serving_input& input)
+{
+    if (const auto* leaves = std::get_if<upstream_leaves>(&input))
+        rollout::excuse(duty.versions.recorder, leaves->target, now());
+    const auto* gone = std::get_if<upstream_gone>(&input);
+    if (gone != nullptr && gone->domain_lost)
+        rollout::excuse(duty.versions.recorder, gone->target, now());
+}
+
+void take_changes(duty_state& duty, view_changes&& changes)
+{
+    for (event& happened : changes.events)
+        record(duty, std::move(happened));
+    for (const serving_input& input : changes.inputs)
+    {
+        excuse_upstream(duty, input);
+        feed(duty, input);
+    }
+}
+
+void take_observed(duty_state& duty, attempt_observed& seen)
+{
+    const time_point at = now();
+    const auto* entry = membership::find(duty.view.directory, seen.target);
+    if (entry != nullptr)
+        seen.key.band = band_of(
+            utilisation(duty.view, entry->value, at) * entry->value.slots,
+            entry->value.slots);
+    note(duty.view, seen, at);
+    rollout::observe(duty.versions.recorder, seen, at);
+}
+
+void take_answer(duty_state& duty, const proposal_answer& answer)
+{
+    auto news = take(duty.journal, answer, now());
+    if (news.event_to_record)
+        record(duty, std::move(*news.event_to_record));
+    if (news.input)
+        feed(duty, *news.input);
+}
+
+void send_proposal(duty_state& duty, proposal wanted)
+{
+    const std::uint64_t ticket = wanted.ticket;
+    if (!duty.links.propose(std::move(wanted)))
+        take_answer(duty, {ticket, proposal_outcome::not_committed, "", 0});
+}
+
+template<class Journal>
+void propose_journal(duty_state& duty, const Journal& action)
+{
+    send_proposal(duty, propose(duty.journal, action, wall_now(), now()));
+}
+
+// Carries out what other entries are told; false if `action` is not that.
+bool tell_peers(duty_state& duty, const serving_action& action)
+{
+    if (const auto* given = std::get_if<hand_over>(&action))
+        send_peer(
+            duty,
+            given->successor,
+            wire::hand_over,
+            wire::encode(given->state));
+    else if (const auto* reply = std::get_if<hand_over_reply>(&action))
+        send_peer(duty, reply->to, wire::hand_over_reply, wire::encode(*reply));
+    else if (const auto* crash = std::get_if<report_crash>(&action))
+        send_all_peers(duty, wire::crash_report, wire::encode(*crash));
+    else
+        return false;
+    return true;
+}
+
+void carry_out(duty_state& duty, serving_action&& action)
+{
+    if (const auto* begin = std::get_if<journal_begin>(&action))
+        propose_journal(duty, *begin);
+    else if (const auto* finish = std::get_if<journal_finish>(&action))
+        propose_journal(duty, *finish);
+    else if (const auto* release = std::get_if<journal_release>(&action))
+        propose_journal(duty, *release);
+    else if (const auto* sent = std::get_if<dispatch>(&action))
+    {
+        note(duty.view, *sent, now());
+        duty.upstreams.send(std::move(action));
+    }
+    else if (const auto* unwanted = std::get_if<cancel_attempt>(&action))
+    {
+        note(duty.view, *unwanted, now());
+        duty.upstreams.send(std::move(action));
+    }
+    else if (auto* seen = std::get_if<attempt_observed>(&action))
+        take_observed(duty, *seen);
+    else if (auto* happened = std::get_if<record_event>(&action))
+        record(duty, std::move(happened->value));
+    else if (std::holds_alternative<drained>(action))
+        duty.links.on_drained();
+    else if (!tell_peers(duty, action))
+        duty.callers.send(std::move(action));
+}
+
+// An entry that cannot confirm its configuration takes no new work.
+bool refuse_stale(duty_state& duty, const request_arrived& arrived)
+{
+    if (now() < duty.may_accept_until)
+        return false;
+    duty.callers.send(answer_error{
+        arrived.request.id,
+        arrived.request.id,
+        {error_kind::stale_configuration, ""},
+        run_claim::not_run,
+        duration(1s)});
+    return true;
+}
+
+void publish(duty_state& duty, time_point at)
+{
+    serving_view view;
+    view.upstreams = upstreams_json(duty.view, at);
+    for (const auto& [id, entry] : duty.view.directory.entries)
+        view.for_moves.push_back(
+            {entry.value,
+             membership::may_take_work(entry, at),
+             utilisation(duty.view, entry.value, at)});
+    view.entries = entry_addresses(duty.entries, at);
+    view.open_requests = duty.requests.open_count;
+    view.revision = duty.config->revision;
+    view.ready = at < duty.may_accept_until;
+    view.draining = duty.draining;
+    view.counters = duty.requests.counters;
+    duty.shown.store(std::move(view));
+}
+
+void report_self(duty_state& duty, time_point at)
+{
+    const bool ready = at < duty.may_accept_until;
+    const std::string report = encode_report(
+        duty.draining,
+        ready,
+        static_cast<std::uint32_t>(duty.requests.open_count));
+    take_report(duty.entries, duty.node, report, at);
+    send_all_peers(duty, wire::entry_status, report);
+    publish(duty, at);
+}
+
+void send_delta(duty_state& duty, time_point at)
+{
+    const auto delta = membership::collect_delta(
+        duty.view.directory, duty.node, duty.incarnation, at);
+    send_all_peers(duty, wire::directory, wire::encode(delta));
+}
+
+void report_evidence(duty_state& duty, time_point at)
+{
+    watch_result result = collect(duty.versions, *duty.committed, at);
+    if (result.changed)
+    {
+        duty.config = without_stopped(duty.committed, duty.versions.stopped);
+        for (const auto& [service, version] : duty.versions.stopped)
+        {
+            event happened;
+            happened.kind = event_kind::version_stopped;
+            happened.detail = service.value + " " + version.value;
+            record(duty, std::move(happened));
+        }
+    }
+    if (!result.report)
+        return;
+    const node_id leader = duty.links.leader();
+    if (leader == duty.node)
+        duty.links.moves.push({duty.node, std::move(*result.report)});
+    else if (!leader.empty())
+        send_peer(
+            duty, leader, wire::evidence, rollout::encode(*result.report));
+}
+
+void on_tick(duty_state& duty)
+{
+    const time_point at = now();
+    take_changes(duty, expire(duty.view, at));
+    for (proposal& again : due(duty.journal, at))
+        send_proposal(duty, std::move(again));
+    if (duty.gossip.due(at))
+        send_delta(duty, at);
+    if (duty.report.due(at))
+        report_self(duty, at);
+    if (duty.evidence.due(at))
+        report_evidence(duty, at);
+    if (duty.refuse_from && at >= *duty.refuse_from)
+    {
+        duty.refuse_from.reset();
+        feed(
+            duty,
+            drain_started{duty.instance_ends, successors(duty.entries, at)});
+    }
+    feed(duty, tick{});
+}
+
+void schedule_tick(duty_state& duty)
+{
+    duty.timer.expires_after(tick_interval);
+    duty.timer.async_wait(
+        [&duty](const boost::system::error_code& error)
+        {
+            if (error)
+                return;
+            schedule_tick(duty);
+            on_tick(duty);
+        });
+}
+
+// Feeds a decoded message; one that cannot be read is dropped.
+template<class Input>
+void feed_decoded(duty_state& duty, const std::variant<Input, failure>& decoded)
+{
+    if (const auto* input = std::get_if<Input>(&decoded))
+        feed(duty, *input);
+    else
+        ++duty.malformed_messages;
+}
+
+void take_directory(duty_state& duty, const incoming_message& message)
+{
+    const auto parsed = wire::decode_directory_delta(message.body);
+    const auto* delta = std::get_if<membership::directory_delta>(&parsed);
+    if (delta == nullptr)
+    {
+        ++duty.malformed_messages;
+        return;
+    }
+    std::optional<membership::directory_delta> answer;
+    take_changes(
+        duty,
+        take_delta(
+            duty.view, *delta, duty.node, duty.incarnation, answer, now()));
+    if (answer)
+        send_peer(duty, message.from, wire::directory, wire::encode(*answer));
+}
+
+} // namespace
+
+serving_duty::serving_duty(
+    boost::asio::io_context& loop,
+    const settings& values,
+    std::uint64_t incarnation,
+    serving_links links)
+    : state_(std::make_unique<state_data>(
+          loop, values, incarnation, std::move(links)))
+{
+    schedule_tick(*state_);
+}
+
+serving_duty::~serving_duty() = default;
+
+void serving_duty::take(serving_input&& input)
+{
+    if (const auto* arrived = std::get_if<request_arrived>(&input))
+        if (refuse_stale(*state_, *arrived))
+            return;
+    if (const auto* finished = std::get_if<attempt_finished>(&input))
+        forget(state_->view, finished->attempt);
+    if (const auto* failed = std::get_if<attempt_failed>(&input))
+        forget(state_->view, failed->attempt);
+    feed(*state_, input);
+}
+
+void serving_duty::take(upstream_message&& message)
+{
+    take_changes(*state_, bergamotusher::take(state_->view, message, now()));
+}
+
+void serving_duty::take(control_news&& news)
+{
+    duty_state& duty = *state_;
+    if (const auto* applied = std::get_if<configuration_applied>(&news))
+    {
+        if (applied->value->revision < duty.committed->revision)
+            return;
+        duty.committed = applied->value;
+        duty.config = without_stopped(duty.committed, duty.versions.stopped);
+        event happened;
+        happened.kind = event_kind::configuration_applied;
+        happened.number = duty.committed->revision;
+        record(duty, std::move(happened));
+    }
+    else if (const auto* lease = std::get_if<configuration_lease>(&news))
+        duty.may_accept_until = lease->valid_until;
+    else
+        take_answer(duty, std::get<proposal_answer>(news));
+}
+
+void serving_duty::take(incoming_message&& message)
+{
+    duty_state& duty = *state_;
+    switch (message.kind)
+    {
+    case wire::directory:
+        take_directory(duty, message);
+        break;
+    case wire::entry_status:
+        if (!take_report(duty.entries, message.from, message.body, now()))
+            ++duty.malformed_messages;
+        break;
+    case wire::hand_over:
+        feed_decoded(
+            duty, wire::decode_handed_over(message.body, message.from));
+        break;
+    case wire::hand_over_reply:
+        feed_decoded(duty, wire::decode_hand_over_answered(message.body));
+        break;
+    case wire::crash_report:
+        feed_decoded(duty, wire::decode_crash_reported(message.body));
+        break;
+    default:
+        ++duty.malformed_messages;
+    }
+}
+
+void serving_duty::take(const reclaim_notice& notice)
+{
+    take_changes(
+        *state_,
+        take_notice(
+            state_->view, {notice.instance}, notice.domain, notice.deadline));
+}
+
+void serving_duty::drain(std::optional<time_point> deadline)
+{
+    duty_state& duty = *state_;
+    if (duty.draining)
+        return;
+    const time_point at = now();
+    duty.draining = true;
+    duty.instance_ends = deadline;
+    duty.refuse_from = at + membership::entry_ttl + address_margin;
+    if (deadline)
+        duty.refuse_from =
+            std::min(*duty.refuse_from, at + (*deadline - at) / 2);
+    report_self(duty, at);
+}
+
+std::shared_ptr<const serving_view> serving_duty::shown() const
+{
+    return state_->shown.load();
+}
+
+} // namespace bergamotusher
