--- a/src/rollout/version_moves.hpp
+++ b/src/rollout/version_moves.hpp
@@ -49,9 +49,9 @@
     /// compare.
     double soak_share = 0.95;
     /// Part of a move's time for the soak, and its bounds.
-    double soak_part = 0.2;
+    double soak_part = 0.35;
     duration shortest_soak = 60s;
-    duration longest_soak = 10min;
+    duration longest_soak = 15min;
     /// The move has its end this long before the deadline.
     duration end_margin = 10s;
     /// Part of the upstreams that stay with the old version to the end.
