Try the second upstream as the first one was tried

Cause: after a slow upstream the other one was tried from the low share on, so a version slow under load only was confirmed late.

--- a/src/rollout/sequential_test.hpp
+++ b/src/rollout/sequential_test.hpp
@@ -33,7 +33,7 @@
     /// Upstreams with this score confirm that all together are slow: among
     /// few, and among many.
     double confirm = 6;
-    double confirm_among_many = 2;
+    double confirm_among_many = 1;
     /// Fewer crashes than this never reject, whatever the score.
     double least_crashes = 3;
     /// Requests that one upstream must have answered to have a say.
--- a/src/rollout/version_moves.cpp
+++ b/src/rollout/version_moves.cpp
@@ -223,7 +223,11 @@
         std::remove_if(
             move.tests.begin(), move.tests.end(), is_latency_of_suspect),
         move.tests.end());
-    enter(at, move_phase::trial, move.trial_share);
+    // The other one is tried as this one was, under load too.
+    move.stage = 0;
+    const double share =
+        move.phase == move_phase::trial ? move.trial_share : move.share;
+    enter(at, move.phase, share);
 }
 
 verdict judge(const step_context& at)
--- a/src/rollout/version_moves.hpp
+++ b/src/rollout/version_moves.hpp
@@ -28,9 +28,9 @@
 {
     test_policy tests;
     /// Requests that the version must have answered in a stage.
-    std::uint64_t stage_requests = 60;
+    std::uint64_t stage_requests = 40;
     /// Requests of each route that has a part in the traffic.
-    double route_requests = 10;
+    double route_requests = 5;
     /// Routes with less than this part of the traffic need none.
     double route_part = 0.02;
     /// Requests of each trial upstream under full load.
