Hold latencies against no version while capacity is short

Causes: after the loss of a domain the upstreams left are overloaded, those of the trial as well, and looked slow; beside a noisy neighbour the other trial upstream was one noise excursion away from condemning the version all the time that the slow one stayed on. Latencies count for nothing while a fifth of the upstreams is missing (150 s at most), a slow upstream is taken off the trial while the other one shows nothing, and one that carries the share alone must score 14.

--- a/src/rollout/local_rule.hpp
+++ b/src/rollout/local_rule.hpp
@@ -21,7 +21,7 @@
 inline constexpr duration local_stop_time = 60s;
 
 /// An entry has a part of the evidence only, so it asks for more of it.
-inline constexpr test_policy local_policy{12, 4, 9, 4};
+inline constexpr test_policy local_policy{12, 14, 4, 9, 4};
 
 /// One entry's own tests of the version on trial at one service.
 struct local_tests
--- a/src/rollout/sequential_test.hpp
+++ b/src/rollout/sequential_test.hpp
@@ -28,6 +28,9 @@
 {
     /// A score of `reject` takes the version back.
     double reject = 10;
+    /// The same for an upstream that carries the share alone: its answers
+    /// share the load of the moment.
+    double reject_alone = 14;
     /// A score of `hold` stops the widening until it falls.
     double hold = 4;
     /// Upstreams with this score confirm that all together are slow: among
--- a/src/rollout/version_moves.cpp
+++ b/src/rollout/version_moves.cpp
@@ -67,6 +67,36 @@
     at.memory.serving = std::move(serving);
 }
 
+/// Notes whether capacity is short, so that upstreams may be overloaded.
+void watch_capacity(step_context& at)
+{
+    move_memory& memory = at.memory;
+    std::size_t serving = 0;
+    for (const auto& [domain, count] : memory.serving)
+        serving += count;
+    memory.most_serving = std::max(memory.most_serving, serving);
+    const bool is_short = 5 * serving <= 4 * memory.most_serving;
+    if (!is_short)
+        memory.short_since.reset();
+    else if (!memory.short_since)
+        memory.short_since = at.now;
+    else if (at.now - *memory.short_since >= at.policy.longest_shortage)
+        memory.most_serving = serving;
+}
+
+/// What `sample` says at a time when some of it can be blamed on losses.
+evidence_sample admissible(const step_context& at, evidence_sample sample)
+{
+    if (at.now < at.memory.disturbed_until)
+        sample.crashed = 0;
+    if (at.memory.short_since)
+    {
+        sample.first_token = {};
+        sample.token_gap = {};
+    }
+    return sample;
+}
+
 void absorb(step_context& at)
 {
     for (const evidence_sample& sample : at.view.samples)
@@ -80,16 +110,7 @@
     {
         if (sample.key.version != at.move.to)
             continue;
-        if (at.now < at.memory.disturbed_until && sample.crashed > 0)
-        {
-            evidence_sample excused = sample;
-            excused.crashed = 0;
-            absorb_new(at.memory.known, at.move.tests, excused);
-        }
-        else
-        {
-            absorb_new(at.memory.known, at.move.tests, sample);
-        }
+        absorb_new(at.memory.known, at.move.tests, admissible(at, sample));
         at.memory.new_routes[sample.key.route] += sample.succeeded;
         at.move.stage_observed += sample.succeeded;
         at.memory.unsaved_evidence = true;
@@ -230,12 +251,17 @@
     enter(at, move.phase, share);
 }
 
+/// Upstreams that carry the version's share.
+std::size_t carriers(const step_context& at)
+{
+    return at.move.trial.empty()
+               ? serving_of(at.move, at.view, at.move.to).size()
+               : std::max(at.move.trial.size(), trial_size(at.move));
+}
+
 verdict judge(const step_context& at)
 {
-    const std::size_t carriers =
-        at.move.trial.empty() ? serving_of(at.move, at.view, at.move.to).size()
-                              : at.move.trial.size();
-    return judge(at.memory.known, at.move.tests, carriers, at.policy.tests);
+    return judge(at.memory.known, at.move.tests, carriers(at), at.policy.tests);
 }
 
 /// True if the move came to its end, or went back to an earlier trial.
@@ -255,12 +281,15 @@
     }
     if (result.suspect.empty())
         return false;
-    if (!at.move.suspects.empty())
+    const bool is_confirmed = carriers(at) == 1 && !at.move.suspects.empty();
+    if (is_confirmed)
         end(at,
             move_phase::taken_back,
             "slower than the old version on each upstream tried");
-    else
+    else if (at.move.suspects.size() < at.policy.most_suspects)
         set_suspect(at, result.suspect);
+    else
+        return false;
     return true;
 }
 
@@ -464,6 +493,7 @@
                    ? std::vector<move_action>{}
                    : order_after_end(at);
     watch_domains(at);
+    watch_capacity(at);
     absorb(at);
     if (move.sequence > view.committed_sequence)
         return {};
--- a/src/rollout/version_moves.hpp
+++ b/src/rollout/version_moves.hpp
@@ -17,6 +17,7 @@
 #include <bergamotusher/version_move.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -68,6 +69,11 @@
     /// After most of a domain's upstreams went at once, crashes are no
     /// evidence for this long.
     duration disturbed_time = 5s;
+    /// While a fifth of the upstreams is missing, latencies are no evidence;
+    /// at most for this long.
+    duration longest_shortage = 150s;
+    /// Upstreams that may be taken off the trial as slow.
+    std::size_t most_suspects = 2;
     /// Longest time between commits while there is evidence.
     duration checkpoint_time = 10s;
 };
@@ -110,6 +116,10 @@
     std::map<std::string, double> new_routes;
     /// Serving upstreams by failure domain at the last step.
     std::map<failure_domain, std::size_t> serving;
+    /// The most upstreams that served, and since when a fifth of them is
+    /// missing.
+    std::size_t most_serving = 0;
+    std::optional<time_point> short_since;
     /// Until then crashes may be those of a lost domain.
     time_point disturbed_until;
     time_point committed;
