Fade the old version's latencies by count, and load the trial for longer

Cause: the latencies of a band faded with time at each new answer, so that a band the old version was rarely in kept two or three answers and the new one was not judged in it at all; seen at order-desk, where a version slow under load passed its load stage untested.

--- a/src/rollout/sequential_test.cpp
+++ b/src/rollout/sequential_test.cpp
@@ -23,6 +23,8 @@
 constexpr double prior_requests = 20;
 constexpr double largest_allowed = 0.6;
 
+/// Answers over which the old version's latencies fade out.
+constexpr double latency_answers = 400;
 /// Answers of the old version before latencies are compared.
 constexpr double least_reference = 20;
 /// Latencies up to this many times the old version's are good.
@@ -78,7 +80,9 @@
 
 void absorb(reference& at, const evidence_sample& sample, time_point now)
 {
-    const double factor = faded(fading_time(at, now), longer_half_life);
+    // By count, not by time: a band that the old version rarely is in must
+    // not be forgotten while the new one is judged by it.
+    const double factor = 1 - std::min(1.0, sample.succeeded / latency_answers);
     count(at.first_token, sample.first_token, factor);
     count(at.token_gap, sample.token_gap, factor);
     absorb_rates(at, sample, now);
--- a/src/rollout/version_moves.hpp
+++ b/src/rollout/version_moves.hpp
@@ -35,7 +35,7 @@
     /// Routes with less than this part of the traffic need none.
     double route_part = 0.02;
     /// Requests of each trial upstream under full load.
-    std::uint64_t loaded_requests = 40;
+    std::uint64_t loaded_requests = 80;
     duration stage_time = 20s;
     /// Longest part of a move's time for one stage, 0 to 1; after it a
     /// quarter of the requests will do.
