--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -25,6 +25,7 @@
 constexpr unsigned entry_port = 8080;
 constexpr unsigned admin_port = 9080;
 constexpr unsigned peer_port = 7080;
+constexpr unsigned link_port = 7100;
 constexpr unsigned upstream_port = 8100;
 constexpr unsigned cloud_port = 8300;
 constexpr auto poll_pause = std::chrono::milliseconds(20);
@@ -67,7 +68,8 @@
 const std::string cluster::key = "caller-key";
 const std::string cluster::other_key = "other-caller-key";
 
-cluster::cluster(unsigned nodes) : nodes_(nodes), number_(next_number())
+cluster::cluster(unsigned nodes, bool with_links)
+    : nodes_(nodes), number_(next_number())
 {
     folder_ = (fs::temp_directory_path() /
                ("bergamotusher-test-" + std::to_string(::getpid()) + "-" +
@@ -81,6 +83,8 @@
         program("fake_cloud"),
         std::vector<std::string>{"--address=" + address(99, cloud_port)},
         folder_ + "/cloud.log");
+    if (with_links)
+        make_links();
     for (unsigned i = 0; i < nodes_; ++i)
         start_node(i);
     configure();
@@ -124,13 +128,42 @@
     return result;
 }
 
-std::string cluster::peers_flag() const
+// A link stands at its target's address, on a port of its own for each source:
+// callers and operators are told the target's address.
+void cluster::make_links()
+{
+    for (unsigned from = 0; from < nodes_; ++from)
+        for (unsigned to = 0; to < nodes_; ++to)
+            if (from != to)
+                links_[{from, to}] = std::make_unique<link>(
+                    address(to, link_port + from), address(to, peer_port));
+}
+
+void cluster::isolate(unsigned index)
+{
+    for (auto& [ends, one] : links_)
+        if (ends.first == index || ends.second == index)
+            one->cut();
+}
+
+void cluster::rejoin(unsigned index)
+{
+    for (auto& [ends, one] : links_)
+        if (ends.first == index || ends.second == index)
+            one->mend();
+}
+
+std::string cluster::peers_flag(unsigned of) const
 {
     std::string text;
     for (unsigned i = 0; i < nodes_; ++i)
-        text += (i == 0 ? "" : ",") + node_name(i) + "=" +
-                address(i, peer_port) + "/" + std::to_string(entry_port) + "/" +
+    {
+        const unsigned port =
+            links_.count({of, i}) > 0 ? link_port + of : peer_port;
+        text += (i == 0 ? "" : ",") + node_name(i) + "=" + address(i, port) +
+                "/" + std::to_string(entry_port) + "/" +
                 std::to_string(admin_port) + "@" + domain_of(i);
+    }
     return text;
 }
 
@@ -152,7 +185,7 @@
          "--entry-address=" + entry(index),
          "--admin-address=" + admin(index),
          "--peer-address=" + address(index, peer_port),
-         "--peers=" + peers_flag(),
+         "--peers=" + peers_flag(index),
          "--data-dir=" + folder_ + "/" + name,
          "--cloud-url=" + address(99, cloud_port),
          "--admin-token-file=" + folder_ + "/operator",
--- a/tests/harness/cluster.hpp
+++ b/tests/harness/cluster.hpp
@@ -4,9 +4,11 @@
 
 #include "harness/caller.hpp"
 #include "harness/child.hpp"
+#include "harness/link.hpp"
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -17,9 +19,10 @@
 class cluster
 {
 public:
-    /// Starts `nodes` daemons, and sets the classes, services and accounts
+    /// Starts `nodes` daemons, with links between them that can be cut if
+    /// `with_links`, and sets the classes, services and accounts
     /// that the tests use.
-    explicit cluster(unsigned nodes = 4);
+    explicit cluster(unsigned nodes = 4, bool with_links = false);
     ~cluster();
     cluster(const cluster&) = delete;
     cluster& operator=(const cluster&) = delete;
@@ -27,6 +30,10 @@
     /// Starts the daemon again after its end; counts from 0.
     void start_node(unsigned index);
     child& node(unsigned index);
+    /// Cuts the daemon off from its peers, silently, or joins it again. Only
+    /// in a system with links.
+    void isolate(unsigned index);
+    void rejoin(unsigned index);
     std::string entry(unsigned index) const;
     std::string admin(unsigned index) const;
     /// The entries, beginning with `first`.
@@ -72,7 +79,8 @@
 
 private:
     std::string address(unsigned index, unsigned port) const;
-    std::string peers_flag() const;
+    std::string peers_flag(unsigned of) const;
+    void make_links();
     std::string admins_flag() const;
     child& start_upstream(
         const std::string& program,
@@ -85,6 +93,8 @@
     unsigned next_upstream_ = 0;
     unsigned next_key_ = 0;
     std::string folder_;
+    /// From a daemon to each of its peers.
+    std::map<std::pair<unsigned, unsigned>, std::unique_ptr<link>> links_;
     std::vector<child> cloud_;
     std::vector<child> daemons_;
     std::map<std::string, child> upstreams_;
