--- /dev/null
+++ b/tests/consensus/promise_test.cpp
@@ -0,0 +1,259 @@
+// What a single replica promises, input by input.
+#include "consensus/replica.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotusher;
+using namespace bergamotusher::consensus;
+
+namespace
+{
+
+constexpr time_point start(1h);
+
+replica voter(recovered_state stored)
+{
+    replica_options options;
+    options.self = {"n0"};
+    for (const char* id : {"n0", "n1", "n2"})
+        options.nodes.push_back({{id}, {id}});
+    options.storage_id = 9;
+    return make_replica(options, std::move(stored), start);
+}
+
+recovered_state admitted(term_number term, const node_id& vote = {})
+{
+    recovered_state stored;
+    stored.hard = {term, vote, true};
+    return stored;
+}
+
+entry command(term_number term, log_index index)
+{
+    return {.term = term, .index = index, .command = "c", .members = {}};
+}
+
+template<class Action>
+std::vector<Action> only(const actions& all)
+{
+    std::vector<Action> found;
+    for (const action& one : all)
+        if (const auto* value = std::get_if<Action>(&one))
+            found.push_back(*value);
+    return found;
+}
+
+template<class Message>
+std::vector<Message> sent(const actions& all)
+{
+    std::vector<Message> found;
+    for (const send& one : only<send>(all))
+        if (const auto* value = std::get_if<Message>(&one.content))
+            found.push_back(*value);
+    return found;
+}
+
+actions sync_all(replica& core, time_point now)
+{
+    return step(core, storage_synced{core.next_token - 1}, now);
+}
+
+/// A leader of term `stored.hard.term + 1` that nobody has answered yet.
+replica leader(recovered_state stored, time_point now)
+{
+    const term_number term = stored.hard.term + 1;
+    replica core = voter(std::move(stored));
+    step(core, tick{}, now);
+    step(core, received{{"n1"}, vote_reply{true, term, true}}, now);
+    sync_all(core, now);
+    step(core, received{{"n1"}, vote_reply{false, term, true}}, now);
+    REQUIRE(core.role == role::leader);
+    sync_all(core, now);
+    return core;
+}
+
+append_reply accepted(term_number term, log_index match)
+{
+    append_reply reply;
+    reply.term = term;
+    reply.accepted = true;
+    reply.match = match;
+    return reply;
+}
+
+} // namespace
+
+TEST_CASE("a vote is given once in a term, and only after it is synced")
+{
+    const time_point later = start + 5s;
+    replica core = voter(admitted(4));
+    const actions asked =
+        step(core, received{{"n1"}, vote_request{false, 5, 0, 0}}, later);
+    CHECK(sent<vote_reply>(asked).empty());
+    REQUIRE(only<persist>(asked).size() == 1);
+    CHECK(only<persist>(asked)[0].hard == hard_state{5, {"n1"}, true});
+    const actions synced = sync_all(core, later);
+    REQUIRE(sent<vote_reply>(synced).size() == 1);
+    CHECK(sent<vote_reply>(synced)[0].granted);
+
+    SECTION("also after a restart")
+    {
+        replica again = voter(admitted(5, {"n1"}));
+        step(again, received{{"n2"}, vote_request{false, 5, 9, 4}}, later);
+        const actions other =
+            step(again, received{{"n2"}, vote_request{false, 5, 9, 4}}, later);
+        REQUIRE(sent<vote_reply>(other).size() == 1);
+        CHECK_FALSE(sent<vote_reply>(other)[0].granted);
+    }
+}
+
+TEST_CASE("a replica with a new folder gives no vote")
+{
+    replica core = voter({});
+    const time_point later = start + 5s;
+    const bool pre = GENERATE(true, false);
+    step(core, received{{"n1"}, vote_request{pre, 7, 9, 6}}, later);
+    CHECK(core.hard.vote.empty());
+    const actions out = sync_all(core, later);
+    for (const vote_reply& reply : sent<vote_reply>(out))
+        CHECK_FALSE(reply.granted);
+}
+
+TEST_CASE("entries are acknowledged and applied only after they are synced")
+{
+    replica core = voter(admitted(1));
+    append_request request;
+    request.term = 1;
+    request.commit = 1;
+    request.entries.push_back(command(1, 1));
+    const actions out = step(core, received{{"n1"}, request}, start);
+    CHECK(sent<append_reply>(out).empty());
+    CHECK(only<apply>(out).empty());
+    const actions synced = sync_all(core, start);
+    CHECK(sent<append_reply>(synced).size() == 1);
+    CHECK(only<apply>(synced).size() == 1);
+}
+
+TEST_CASE("after a failed sync nothing is sent any more")
+{
+    replica core = voter(admitted(1));
+    append_request request;
+    request.term = 1;
+    request.entries.push_back(command(1, 1));
+    step(core, received{{"n1"}, request}, start);
+    step(core, storage_broken{}, start);
+    CHECK(sync_all(core, start).empty());
+    CHECK(step(core, received{{"n1"}, request}, start).empty());
+    const actions refused_one = step(core, propose{{"c"}}, start);
+    REQUIRE(only<refused>(refused_one).size() == 1);
+    CHECK(only<refused>(refused_one)[0].kind == error_kind::storage_failed);
+}
+
+TEST_CASE("a leader commits an entry of an earlier term only below its own")
+{
+    recovered_state stored = admitted(1);
+    stored.entries.push_back(command(1, 1));
+    const time_point now = start + 3s;
+    replica core = leader(std::move(stored), now);
+    step(core, received{{"n1"}, accepted(2, 1)}, now);
+    CHECK(core.commit == 0);
+    step(core, received{{"n1"}, accepted(2, 2)}, now);
+    CHECK(core.commit == 2);
+}
+
+TEST_CASE("a follower with a new folder counts for no quorum")
+{
+    const time_point now = start + 3s;
+    replica core = leader(admitted(1), now);
+    append_reply unadmitted = accepted(2, 1);
+    unadmitted.unadmitted = 5;
+    unadmitted.sent_at_us = now.time_since_epoch().count();
+    step(core, received{{"n1"}, unadmitted}, now);
+    CHECK(core.commit == 0);
+    CHECK(lease_until(core) <= now);
+    step(core, received{{"n2"}, accepted(2, 1)}, now);
+    CHECK(core.commit == 1);
+}
+
+TEST_CASE("one change of voters at a time")
+{
+    const time_point now = start + 3s;
+    replica core = leader(admitted(1), now);
+    const membership smaller = with_learner(members_of(core), {"n2"});
+
+    SECTION("none before the leader has committed in its term")
+    {
+        CHECK(
+            only<refused>(step(core, change_members{smaller}, now)).size() ==
+            1);
+    }
+    SECTION("no second one before the first is committed")
+    {
+        step(core, received{{"n1"}, accepted(2, 1)}, now);
+        CHECK(only<refused>(step(core, change_members{smaller}, now)).empty());
+        const membership back = with_voter(members_of(core), {"n2"});
+        CHECK(only<refused>(step(core, change_members{back}, now)).size() == 1);
+    }
+    SECTION("none that changes two voters")
+    {
+        step(core, received{{"n1"}, accepted(2, 1)}, now);
+        const membership two = with_learner(smaller, {"n1"});
+        CHECK(only<refused>(step(core, change_members{two}, now)).size() == 1);
+    }
+}
+
+TEST_CASE("a new leader gives no order before any older lease is out")
+{
+    const time_point now = start + 3s;
+    replica core = leader(admitted(1), now);
+    const auto answer_at = [&](time_point at)
+    {
+        append_reply reply = accepted(2, 1);
+        reply.sent_at_us = at.time_since_epoch().count();
+        step(core, received{{"n1"}, reply}, at);
+    };
+    answer_at(now);
+    CHECK(lease_until(core) > now);
+    CHECK_FALSE(may_order(core, now));
+    const time_point later = now + core.options.timing.lease * 2;
+    answer_at(later);
+    CHECK(may_order(core, later));
+}
+
+TEST_CASE("a set of voters that blocks every quorum blocks the next ones too")
+{
+    // Every quorum of `n` voters, and of one more or one less, must meet it.
+    for (std::size_t n = 2; n <= 7; ++n)
+    {
+        const std::size_t size = blocking_size(n);
+        CHECK(size <= n);
+        CHECK(size + quorum_size(n) > n);
+        CHECK(size + quorum_size(n - 1) > n);
+        CHECK(size + quorum_size(n + 1) - 1 > n);
+    }
+}
+
+TEST_CASE("a snapshot that conflicts with the log replaces all of it")
+{
+    recovered_state stored = admitted(1);
+    for (log_index i = 1; i <= 5; ++i)
+        stored.entries.push_back(command(1, i));
+    replica core = voter(std::move(stored));
+    snapshot_chunk chunk;
+    chunk.term = 3;
+    chunk.index = 3;
+    chunk.index_term = GENERATE(1, 2);
+    chunk.members = members_of(core);
+    chunk.bytes = "state";
+    chunk.last = true;
+    const actions out = step(core, received{{"n1"}, chunk}, start);
+    CHECK(sent<snapshot_reply>(out).empty());
+    REQUIRE(only<persist_snapshot>(out).size() == 1);
+    const bool conflicts = chunk.index_term != 1;
+    CHECK(only<persist_snapshot>(out)[0].reset == conflicts);
+    const actions synced = sync_all(core, start);
+    REQUIRE(only<restore>(synced).size() == 1);
+    CHECK(*only<restore>(synced)[0].value->data == "state");
+    CHECK(sent<snapshot_reply>(synced).size() == 1);
+    CHECK(last_index(core.log) == (conflicts ? 3 : 5));
+}
