--- a/tests/consensus/promise_test.cpp
+++ b/tests/consensus/promise_test.cpp
@@ -257,3 +257,20 @@
     CHECK(sent<snapshot_reply>(synced).size() == 1);
     CHECK(last_index(core.log) == (conflicts ? 3 : 5));
 }
+
+TEST_CASE("a read without a lease waits for a round sent after it was asked")
+{
+    const time_point now = start + 3s;
+    replica core = leader(admitted(1), now);
+    step(core, read_index{7}, now);
+    append_reply older = accepted(2, 1);
+    older.sent_at_us = (now - 1ms).time_since_epoch().count();
+    CHECK(only<read_ready>(step(core, received{{"n1"}, older}, now)).empty());
+    append_reply newer = accepted(2, 1);
+    newer.sent_at_us = now.time_since_epoch().count();
+    const auto ready =
+        only<read_ready>(step(core, received{{"n1"}, newer}, now));
+    REQUIRE(ready.size() == 1);
+    CHECK(ready[0].token == 7);
+    CHECK(ready[0].index == 1);
+}
