Consensus: a leader that leaves hands over

Before, a leader that was stopped left its successor to an election timeout, and forwarded proposals in flight were answered unknown. It now takes no more proposals, steps down once a voter has the whole log, and asks it to campaign. The new test of 400 proposals over a hand-over sees all of them committed.

--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -46,7 +46,8 @@
         last_term(replica.log)};
 }
 
-void start_election(replica& replica, actions& out, time_point now)
+void start_election(
+    replica& replica, actions& out, time_point now, bool transfer = false)
 {
     replica.role = role::candidate;
     ++replica.hard.term;
@@ -56,9 +57,11 @@
     replica.vote_token = covering_token(replica);
     reset_election(replica, now);
     announce_role(replica, out);
+    vote_request request = own_request(replica, false);
+    request.transfer = transfer;
     for (const node_id& voter : members_of(replica).voters)
         if (voter != replica.options.self)
-            emit_durable(replica, out, voter, own_request(replica, false));
+            emit_durable(replica, out, voter, request);
 }
 
 } // namespace
@@ -132,7 +135,9 @@
 {
     const bool usable = replica.hard.admitted &&
                         is_up_to_date(replica, request) && !replica.installing;
-    const bool held_back = follows_live_leader(replica, now);
+    // A leader that hands over has given up the lease that holds voters back.
+    const bool held_back =
+        !request.transfer && follows_live_leader(replica, now);
     vote_reply reply{request.pre, replica.hard.term, false};
     if (request.pre)
     {
@@ -157,6 +162,18 @@
     emit_durable(replica, out, from, reply);
 }
 
+void handle(
+    replica& replica,
+    actions& out,
+    const node_id&,
+    const campaign_now& request,
+    time_point now)
+{
+    if (request.term == replica.hard.term && replica.role == role::follower &&
+        may_campaign(replica, now))
+        start_election(replica, out, now, true);
+}
+
 void handle(
     replica& replica,
     actions& out,
--- a/src/consensus/encoding.cpp
+++ b/src/consensus/encoding.cpp
@@ -75,11 +75,13 @@
     m.set_term(from.term);
     m.set_last_index(from.last_index);
     m.set_last_term(from.last_term);
+    m.set_transfer(from.transfer);
 }
 
 message read(const pb::vote_request& m)
 {
-    return vote_request{m.pre(), m.term(), m.last_index(), m.last_term()};
+    return vote_request{
+        m.pre(), m.term(), m.last_index(), m.last_term(), m.transfer()};
 }
 
 void write(pb::consensus_message& to, const vote_reply& from)
@@ -199,6 +201,11 @@
     m.set_empty(from.empty);
 }
 
+void write(pb::consensus_message& to, const campaign_now& from)
+{
+    to.mutable_campaign_now()->set_term(from.term);
+}
+
 void write(pb::consensus_message& to, const freshness_query& from)
 {
     to.mutable_freshness_query()->set_token(from.token);
@@ -253,6 +260,8 @@
             m.freshness_answer().token(),
             m.freshness_answer().from_leader(),
             m.freshness_answer().index()};
+    case kind::kCampaignNow:
+        return campaign_now{m.campaign_now().term()};
     default:
         return std::nullopt;
     }
--- a/src/consensus/internal.hpp
+++ b/src/consensus/internal.hpp
@@ -29,6 +29,10 @@
     time_point now);
 void reset_election(replica& replica, time_point now);
 void start_pre_vote(replica& replica, actions& out, time_point now);
+/// True if the replica may become leader.
+bool may_campaign(const replica& replica, time_point now);
+void handle(
+    replica&, actions&, const node_id& from, const campaign_now&, time_point);
 void count_own_vote(replica& replica, actions& out, time_point now);
 void handle(
     replica&, actions&, const node_id& from, const vote_request&, time_point);
@@ -57,6 +61,8 @@
 void send_append(
     replica& replica, actions& out, const node_id& to, time_point now);
 void heartbeat(replica& replica, actions& out, time_point now);
+/// Steps down in favour of a voter that has the whole log, if there is one.
+void hand_over(replica& replica, actions& out, time_point now);
 void repair_members(replica& replica, actions& out, time_point now);
 bool append_members(
     replica& replica, actions& out, const membership&, time_point now);
--- a/src/consensus/leader.cpp
+++ b/src/consensus/leader.cpp
@@ -88,6 +88,14 @@
             send_append(replica, out, id, now);
 }
 
+bool may_succeed(const replica& replica, const node_id& id, time_point now)
+{
+    const auto peer = replica.followers.find(id);
+    return peer != replica.followers.end() && peer->second.answered &&
+           peer->second.unadmitted == 0 && !peer->second.leaving &&
+           !is_silent(replica, peer->second, now);
+}
+
 } // namespace
 
 bool counts(const replica& replica, const node_id& id)
@@ -236,6 +244,32 @@
     replicate(replica, out, now);
 }
 
+bool takes_proposals(const replica& replica, time_point now)
+{
+    if (replica.role != role::leader || !replica.leaving)
+        return replica.role == role::leader;
+    const auto& voters = members_of(replica).voters;
+    return std::none_of(
+        voters.begin(),
+        voters.end(),
+        [&](const node_id& id) { return may_succeed(replica, id, now); });
+}
+
+void hand_over(replica& replica, actions& out, time_point now)
+{
+    if (replica.role != role::leader || replica.commit < replica.term_start)
+        return;
+    for (const node_id& id : members_of(replica).voters)
+    {
+        if (!may_succeed(replica, id, now) ||
+            replica.followers.at(id).match < last_index(replica.log))
+            continue;
+        const campaign_now request{replica.hard.term};
+        become_follower(replica, out, replica.hard.term, {}, now);
+        return emit(out, id, request);
+    }
+}
+
 bool append_members(
     replica& replica, actions& out, const membership& members, time_point now)
 {
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -26,13 +26,6 @@
                replica.options.timing.election_max;
 }
 
-bool may_campaign(const replica& replica, time_point now)
-{
-    return replica.hard.admitted && !replica.installing &&
-           is_voter(members_of(replica), replica.options.self) &&
-           !storage_is_stuck(replica, now);
-}
-
 void tick_leader(replica& replica, actions& out, time_point now)
 {
     const duration patience = replica.options.timing.election_max;
@@ -44,6 +37,8 @@
         return;
     repair_members(replica, out, now);
     heartbeat(replica, out, now);
+    if (replica.leaving)
+        hand_over(replica, out, now);
 }
 
 void tick_other(replica& replica, actions& out, time_point now)
@@ -62,7 +57,7 @@
     replica& replica, actions& out, const propose& input, time_point now)
 {
     const log_index last = last_index(replica.log);
-    if (replica.role != role::leader)
+    if (!takes_proposals(replica, now))
         return out.emplace_back(refused{error_kind::not_leader}), void();
     if (last - replica.commit + input.commands.size() >
         replica.options.limits.uncommitted)
@@ -163,6 +158,13 @@
 
 } // namespace
 
+bool may_campaign(const replica& replica, time_point now)
+{
+    return replica.hard.admitted && !replica.installing &&
+           is_voter(members_of(replica), replica.options.self) &&
+           !storage_is_stuck(replica, now);
+}
+
 void emit(actions& out, const node_id& to, message content)
 {
     out.emplace_back(send{to, std::move(content)});
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -200,7 +200,8 @@
     membership members;
 };
 
-/// This node's instance is about to go: have it replaced while it still works.
+/// This node's instance is about to go: it hands over if it leads, and has
+/// itself replaced as a voter while it still works.
 struct leave
 {
 };
@@ -361,6 +362,9 @@
 /// and it has applied everything that earlier leaders committed.
 bool may_order(const replica& replica, time_point now);
 
+/// Whether a leader appends what is proposed; one that hands over does not.
+bool takes_proposals(const replica& replica, time_point now);
+
 /// The commit index, if this replica leads with a valid lease and knows what
 /// earlier leaders committed.
 std::optional<log_index> lease_read(const replica& replica, time_point now);
--- a/src/consensus/types.hpp
+++ b/src/consensus/types.hpp
@@ -93,6 +93,14 @@
     term_number term = 0;
     log_index last_index = 0;
     term_number last_term = 0;
+    /// The leader of the term before gave up its lease in favour of this one.
+    bool transfer = false;
+};
+
+/// The leader of `term` has stepped down: the receiver is to campaign now.
+struct campaign_now
+{
+    term_number term = 0;
 };
 
 /// Answers a vote request; `term` is the request's if granted.
@@ -196,7 +204,8 @@
     join_query,
     join_answer,
     freshness_query,
-    freshness_answer>;
+    freshness_answer,
+    campaign_now>;
 
 /// What a replica does in its term.
 enum class role
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -355,6 +355,13 @@
     boost::asio::post(duty.loop, [&duty] { give(duty, consensus::leave{}); });
 }
 
+bool has_left(const control_duty& duty)
+{
+    const control_status status = status_of(duty);
+    return status.role != role::leader &&
+           !consensus::is_voter(status.members, duty.options.self);
+}
+
 bool propose(proposer& proposer, proposal&& value)
 {
     return proposer.inbox.push(std::move(value));
--- a/src/daemon/control_duty.hpp
+++ b/src/daemon/control_duty.hpp
@@ -157,10 +157,14 @@
 /// a failure of storage.
 void stop(control_duty& duty);
 
-/// Has this node replaced as a voter while it still works: its instance is
-/// about to go. May be called from any thread.
+/// Hands leadership over and has this node replaced as a voter while it still
+/// works: its instance is about to go. What it has taken is answered as usual.
+/// May be called from any thread; `has_left` tells when it is done.
 void leave(control_duty& duty);
 
+/// True if stopping the node now stops no leader and takes no voter away.
+bool has_left(const control_duty& duty);
+
 /// Hands a proposal over; false, and unanswered, if the ring is full.
 bool propose(proposer& proposer, proposal&& value);
 
--- a/src/daemon/control_proposals.cpp
+++ b/src/daemon/control_proposals.cpp
@@ -248,11 +248,11 @@
     using consensus::role;
     if (duty.held.empty())
         return;
-    if (duty.core.role == role::leader)
+    if (consensus::takes_proposals(duty.core, steady_now()))
         propose_held(duty);
     else if (duty.core.role == role::halted)
         settle_all(duty);
-    else if (!duty.core.leader.empty())
+    else if (!duty.core.leader.empty() && duty.core.leader != duty.options.self)
         forward_held(duty);
 }
 
--- a/tests/consensus/replica_test.cpp
+++ b/tests/consensus/replica_test.cpp
@@ -293,3 +293,27 @@
     REQUIRE(took);
     CHECK(members_of(net.nodes[*leader_of(net)].core).voters.size() == 3);
 }
+
+TEST_CASE("a leader that leaves hands over faster than any election timeout")
+{
+    network net = started(3);
+    const std::size_t leader = elected(net);
+    run(net, 1s);
+    REQUIRE(propose_to(net, leader, 3));
+    give(net, leader, leave{});
+    CHECK_FALSE(propose_to(net, leader, 1));
+    const auto took = run_until(
+        net,
+        5s,
+        [&]
+        {
+            const auto leads = leader_of(net);
+            return leads && *leads != leader &&
+                   net.nodes[*leads].core.commit >=
+                       net.nodes[*leads].core.term_start;
+        });
+    REQUIRE(took);
+    CHECK(*took < consensus::timing{}.election_min);
+    run(net, 1s);
+    CHECK(net.applied_commands == 3);
+}
--- a/tests/consensus/safety_test.cpp
+++ b/tests/consensus/safety_test.cpp
@@ -28,7 +28,8 @@
     mend_disk,
     fill_disk,
     change_voter,
-    last = change_voter
+    leave,
+    last = leave
 };
 
 /// One thing that happens to a node, and how long time then goes on.
@@ -146,6 +147,10 @@
         return;
     case fault::change_voter:
         return change_voter(net, one.target);
+    case fault::leave:
+        if (node.running && !node.frozen)
+            give(net, one.target, leave{});
+        return;
     }
 }
 
--- a/tests/control/control_duty_test.cpp
+++ b/tests/control/control_duty_test.cpp
@@ -145,3 +145,37 @@
     CHECK(now() - began < 1s);
     stop_all(all);
 }
+
+TEST_CASE("a leader that leaves under load answers all that it was given")
+{
+    cluster all;
+    make_nodes(all, 4);
+    start_all(all);
+    const std::size_t leader = wait_for_leader(all);
+    const std::size_t other = (leader + 1) % 4;
+    constexpr std::uint64_t proposals = 400;
+    for (std::uint64_t i = 1; i <= proposals; ++i)
+    {
+        propose(
+            *all.members[i % 2 == 0 ? leader : other]->proposer,
+            {i, "c" + std::to_string(i), now() + 8s});
+        if (i == proposals / 2)
+            leave(*all.members[leader]->control);
+    }
+    std::size_t committed = 0;
+    for (const std::size_t node : {leader, other})
+    {
+        observed& seen = all.members[node]->seen;
+        REQUIRE(
+            wait_for(seen, 9s, [&] { return seen.answered == proposals / 2; }));
+        const std::lock_guard lock(seen.mutex);
+        for (const auto& [ticket, answer] : seen.answers)
+            committed += answer.outcome == proposal_outcome::committed ? 1 : 0;
+    }
+    CHECK(committed == proposals);
+    CHECK(wait_for(
+        all.members[leader]->seen,
+        5s,
+        [&] { return has_left(*all.members[leader]->control); }));
+    stop_all(all);
+}
