--- a/src/daemon/control_start.cpp
+++ b/src/daemon/control_start.cpp
@@ -42,7 +42,10 @@
     if (bad == nullptr || bad->kind != error_kind::storage_corrupt ||
         !duty.options.rejoin_if_damaged)
         return opened;
-    duty.status.failed = *bad;
+    {
+        const std::lock_guard lock(duty.status_mutex);
+        duty.status.failed = *bad;
+    }
     if (auto worse = consensus::set_aside(storage))
         return *worse;
     return consensus::open_storage(storage);
@@ -85,6 +88,7 @@
     duty.taken.clear();
     duty.asking.reset();
     duty.may_order = false;
+    const std::lock_guard lock(duty.status_mutex);
     duty.status.role = role::follower;
     duty.status.failed.reset();
 }
@@ -98,7 +102,10 @@
         replica_options_of(duty.options, opened.storage.storage_id),
         std::move(opened.state),
         steady_now());
-    duty.status.term = duty.core.hard.term;
+    {
+        const std::lock_guard lock(duty.status_mutex);
+        duty.status.term = duty.core.hard.term;
+    }
     duty.storage = std::make_unique<storage_duty>(
         std::move(opened.storage),
         storage_ring,
@@ -116,8 +123,11 @@
     if (auto* bad = std::get_if<failure>(&opened))
         return *bad;
     start_core(duty, std::move(std::get<consensus::opened_storage>(opened)));
-    duty.status.opened_in = steady_now() - began;
     publish_status(duty);
+    {
+        const std::lock_guard lock(duty.status_mutex);
+        duty.status.opened_in = steady_now() - began;
+    }
     start(*duty.storage);
     duty.thread = std::thread(
         [&duty]
--- a/tests/consensus/promise_test.cpp
+++ b/tests/consensus/promise_test.cpp
@@ -274,3 +274,35 @@
     CHECK(ready[0].token == 7);
     CHECK(ready[0].index == 1);
 }
+
+TEST_CASE("a leader that leaves asks one to campaign only without a lease")
+{
+    time_point now = start + 3s;
+    replica core = leader(admitted(1), now);
+    const auto answer_both = [&](log_index match)
+    {
+        append_reply reply = accepted(2, match);
+        reply.sent_at_us = now.time_since_epoch().count();
+        step(core, received{{"n1"}, reply}, now);
+        step(core, received{{"n2"}, reply}, now);
+    };
+    answer_both(1);
+    step(core, propose{{"c"}}, now);
+    step(core, leave{}, now);
+    now = next_tick(core);
+
+    SECTION("nobody, while each voter lacks a part of the log")
+    {
+        CHECK(sent<campaign_now>(step(core, tick{}, now)).empty());
+        CHECK(core.role == role::leader);
+    }
+    SECTION("one that has all of it")
+    {
+        sync_all(core, now);
+        answer_both(2);
+        CHECK(lease_until(core) > now);
+        CHECK(sent<campaign_now>(step(core, tick{}, now)).size() == 1);
+        CHECK(core.role == role::follower);
+        CHECK(lease_until(core) < now);
+    }
+}
