--- a/src/consensus/leader.cpp
+++ b/src/consensus/leader.cpp
@@ -88,6 +88,26 @@
             send_append(replica, out, id, now);
 }
 
+/// A silent learner that the settings no longer name.
+std::optional<node_id> retired_learner(const replica& replica, time_point now)
+{
+    const auto& nodes = replica.options.nodes;
+    for (const node_id& id : members_of(replica).learners)
+    {
+        const auto peer = replica.followers.find(id);
+        const bool silent = peer != replica.followers.end() &&
+                            now - peer->second.heard_at >
+                                replica.options.timing.voter_lost_after;
+        const bool named = std::any_of(
+            nodes.begin(),
+            nodes.end(),
+            [&](const candidate_member& node) { return node.id == id; });
+        if (silent && !named)
+            return id;
+    }
+    return std::nullopt;
+}
+
 bool may_succeed(const replica& replica, const node_id& id, time_point now)
 {
     const auto peer = replica.followers.find(id);
@@ -337,6 +357,8 @@
         members, health_of(replica, now), replica.options.limits.wanted_voters);
     if (planned)
         append_members(replica, out, *planned, now);
+    else if (const auto gone = retired_learner(replica, now))
+        append_members(replica, out, without(members, *gone), now);
 }
 
 } // namespace bergamotusher::consensus
--- a/tests/consensus/promise_test.cpp
+++ b/tests/consensus/promise_test.cpp
@@ -306,3 +306,31 @@
         CHECK(lease_until(core) < now);
     }
 }
+
+TEST_CASE("a silent learner is removed once the settings do not name it")
+{
+    recovered_state stored = admitted(1);
+    entry first{
+        .term = 1,
+        .index = 1,
+        .kind = entry_kind::members,
+        .command = {},
+        .members = {}};
+    first.members.voters = {{"n0"}, {"n1"}, {"n2"}};
+    first.members.learners = {{"n9"}};
+    stored.entries.push_back(first);
+    time_point now = start + 3s;
+    replica core = leader(std::move(stored), now);
+    for (int i = 0; i < 40; ++i)
+    {
+        now += 250ms;
+        append_reply reply = accepted(2, last_index(core.log));
+        reply.sent_at_us = now.time_since_epoch().count();
+        step(core, received{{"n1"}, reply}, now);
+        step(core, received{{"n2"}, reply}, now);
+        step(core, tick{}, now);
+        sync_all(core, now);
+    }
+    CHECK(members_of(core).learners.empty());
+    CHECK(members_of(core).voters.size() == 3);
+}
