--- a/src/rollout/version_moves.cpp
+++ b/src/rollout/version_moves.cpp
@@ -114,18 +114,20 @@
         at.policy.largest_loaded_share);
 }
 
-/// The control upstreams get what brings them to full load, as far as the
-/// other old upstreams keep their part.
+/// The share that brings the control upstreams to full load, on top of their
+/// part of what all old upstreams get.
 double control_share_of(const step_context& at)
 {
-    const auto controls = at.move.control.size();
-    const auto old = serving_of(at.move, at.view, at.move.from).size();
+    const auto controls = static_cast<double>(at.move.control.size());
+    const auto old =
+        static_cast<double>(serving_of(at.move, at.view, at.move.from).size());
     const double rest = 1 - at.move.share;
     if (controls == 0)
         return 0;
     if (controls >= old)
         return rest;
-    return std::min(loaded_share(at, controls), 0.8 * rest);
+    const double wanted = loaded_share(at, 1) - rest / old;
+    return std::clamp(wanted / (1 / controls - 1 / old), 0.0, 0.8 * rest);
 }
 
 void enter(step_context& at, move_phase phase, double share)
@@ -221,7 +223,11 @@
         std::remove_if(
             move.tests.begin(), move.tests.end(), is_latency_of_suspect),
         move.tests.end());
-    enter(at, move_phase::trial, move.trial_share);
+    // The other one is tried as this one was, under load too.
+    move.stage = 0;
+    const double share =
+        move.phase == move_phase::trial ? move.trial_share : move.share;
+    enter(at, move.phase, share);
 }
 
 verdict judge(const step_context& at)
--- a/src/rollout/version_moves.hpp
+++ b/src/rollout/version_moves.hpp
@@ -28,9 +28,9 @@
 {
     test_policy tests;
     /// Requests that the version must have answered in a stage.
-    std::uint64_t stage_requests = 60;
+    std::uint64_t stage_requests = 40;
     /// Requests of each route that has a part in the traffic.
-    double route_requests = 10;
+    double route_requests = 5;
     /// Routes with less than this part of the traffic need none.
     double route_part = 0.02;
     /// Requests of each trial upstream under full load.
@@ -49,9 +49,9 @@
     /// compare.
     double soak_share = 0.95;
     /// Part of a move's time for the soak, and its bounds.
-    double soak_part = 0.2;
+    double soak_part = 0.35;
     duration shortest_soak = 60s;
-    duration longest_soak = 10min;
+    duration longest_soak = 15min;
     /// The move has its end this long before the deadline.
     duration end_margin = 10s;
     /// Part of the upstreams that stay with the old version to the end.
