Spread load over near equals, and let price decide at ease

Cause: near equals were within a tenth of the least cost, so the cheapest failure domain's upstreams ran at the edge of the target while others had room. Now costs within a factor of two are near equals, unless an upstream is far from its targets: then the cheapest of those at ease is taken.

--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 
 namespace bergamotusher::routing
 {
@@ -21,7 +22,14 @@
 constexpr double first_token_margin = 0.7;
 constexpr double gap_margin = 0.9;
 /// Costs within this factor of the least are near equals.
-constexpr double near_equal = 1.1;
+constexpr double near_equal = 2;
+/// The same among upstreams at ease: these are far from their targets, so that
+/// the price alone may decide.
+constexpr double near_equal_at_ease = 1.1;
+/// An upstream at ease uses up no more than these shares of its slots and of
+/// the first token's target.
+constexpr double slots_at_ease = 0.25;
+constexpr double first_token_at_ease = 0.1;
 /// Most of a service's upstreams that may be ejected at once.
 constexpr double most_ejected = 0.34;
 /// One request in so many may probe an upstream on probation.
@@ -36,6 +44,7 @@
     health_state health = health_state::healthy;
     bool avoided = false;
     bool meets_target = false;
+    bool at_ease = false;
 };
 
 using candidates = boost::container::static_vector<candidate, most_candidates>;
@@ -135,6 +144,10 @@
     found.avoided = holds(request.avoided, entry.value.domain);
     found.meets_target = now >= estimate.full_until &&
                          meets(entry.value, found.expected, request);
+    found.at_ease =
+        found.expected.used_share <= slots_at_ease &&
+        found.expected.first_token_seconds <=
+            first_token_at_ease * to_seconds(request.target.first_token);
 }
 
 candidates gather(
@@ -199,24 +212,54 @@
            right.expected.first_token_seconds;
 }
 
-/// Of two drawn among the near equals of the cheapest, the sooner one.
-const candidate*
-cheapest(const candidates& all, const choice_request& request, bool avoided)
+using selection =
+    boost::container::static_vector<const candidate*, most_candidates>;
+
+/// Keeps those that cost at most `factor` times the least.
+void keep_cheapest(selection& some, double factor)
+{
+    double least = some.front()->expected.cost;
+    for (const candidate* one : some)
+        least = std::min(least, one->expected.cost);
+    some.erase(
+        std::remove_if(
+            some.begin(),
+            some.end(),
+            [least, factor](const candidate* one)
+            { return one->expected.cost > least * factor; }),
+        some.end());
+}
+
+/// Keeps those at ease, if there are any.
+void prefer_at_ease(selection& some)
+{
+    const auto at_ease = [](const candidate* one)
+    {
+        return one->at_ease;
+    };
+    if (std::none_of(some.begin(), some.end(), at_ease))
+        return;
+    some.erase(
+        std::remove_if(some.begin(), some.end(), std::not_fn(at_ease)),
+        some.end());
+    keep_cheapest(some, near_equal_at_ease);
+}
+
+/// The best upstream that meets the target, or null: of two drawn among the
+/// near equals, the sooner one.
+const candidate* best_within_target(
+    const candidates& all, const choice_request& request, bool avoided)
 {
-    double least = -1;
+    selection some;
     for (const candidate& one : all)
-        if (one.meets_target && one.avoided == avoided &&
-            (least < 0 || one.expected.cost < least))
-            least = one.expected.cost;
-    if (least < 0)
+        if (one.meets_target && one.avoided == avoided)
+            some.push_back(&one);
+    if (some.empty())
         return nullptr;
-    boost::container::static_vector<const candidate*, most_candidates> near;
-    for (const candidate& one : all)
-        if (one.meets_target && one.avoided == avoided &&
-            one.expected.cost <= least * near_equal)
-            near.push_back(&one);
-    const candidate* first = near[request.draw % near.size()];
-    const candidate* second = near[(request.draw >> 32) % near.size()];
+    keep_cheapest(some, near_equal);
+    prefer_at_ease(some);
+    const candidate* first = some[request.draw % some.size()];
+    const candidate* second = some[(request.draw >> 32) % some.size()];
     return sooner(*second, *first) ? second : first;
 }
 
@@ -336,10 +379,9 @@
         if (const candidate* chosen = probe(all, request))
             return to_choice(*chosen);
     }
-    if (const candidate* chosen = cheapest(all, request, false))
-        return to_choice(*chosen);
-    if (const candidate* chosen = cheapest(all, request, true))
-        return to_choice(*chosen);
+    for (const bool avoided : {false, true})
+        if (const auto* chosen = best_within_target(all, request, avoided))
+            return to_choice(*chosen);
     return fall_back(all, request);
 }
 
