--- a/tests/routing/choose_test.cpp
+++ b/tests/routing/choose_test.cpp
@@ -29,7 +29,11 @@
         request.expected_tokens = 100;
     }
 
-    void add(const std::string& id, const std::string& domain, double price)
+    void
+    add(const std::string& id,
+        const std::string& domain,
+        double price,
+        time_point now = start)
     {
         upstream value;
         value.id = {id};
@@ -40,7 +44,7 @@
         value.instance_class = "small";
         value.price_per_hour = price;
         value.slots = 4;
-        announce(dir, value, start);
+        announce(dir, value, now);
         on_announced(state, value);
     }
 
@@ -85,7 +89,7 @@
 {
     world w;
     w.add("cheap", "suva", 1);
-    w.add("dear", "nadi", 2);
+    w.add("dear", "nadi", 5);
 
     SECTION("the cheaper one while it meets the target")
     {
@@ -158,6 +162,24 @@
     }
 }
 
+TEST_CASE("price alone decides while an upstream is at ease")
+{
+    world w;
+    w.add("cheap", "suva", 1);
+    w.add("near", "nadi", 1.5);
+    for (int i = 0; i < 16; ++i)
+    {
+        w.request.draw += 0x9e3779b97f4a7c14ULL;
+        CHECK(w.chosen() == "cheap");
+    }
+    SECTION("and load among near equals, when it is not")
+    {
+        for (int i = 0; i < 2; ++i)
+            CHECK(w.send() == "cheap");
+        CHECK(w.send() == "near");
+    }
+}
+
 TEST_CASE("an upstream that holds the prompt's prefix is preferred")
 {
     world w;
@@ -290,3 +312,42 @@
             }
         }));
 }
+
+TEST_CASE("the roster makes choices quicker, never other ones")
+{
+    CHECK(rc::check(
+        []
+        {
+            world plain;
+            world quick;
+            const std::vector<std::string> names = {"a", "b", "c", "d"};
+            time_point now = start;
+            for (int step = 0; step < 40; ++step)
+            {
+                now += *rc::gen::inRange(0, 600) * 1ms;
+                const std::string name = *rc::gen::elementOf(names);
+                const int what = *rc::gen::inRange(0, 9);
+                const bool refresh = *rc::gen::inRange(0, 2) == 0;
+                for (world* w : {&plain, &quick})
+                {
+                    const bool known = find(w->dir, {name}) != nullptr;
+                    if (what == 0)
+                        lost(w->dir, {name});
+                    else if (what == 3)
+                        on_lost(w->state, {name});
+                    else if (what == 1)
+                        expire(w->dir, now + 1h);
+                    else if (what == 2)
+                        leave(w->dir, {name});
+                    else if (!known)
+                        w->add(name, "suva", what, now);
+                    else
+                        announce(
+                            w->dir, upstream(find(w->dir, {name})->value), now);
+                }
+                if (refresh)
+                    refresh_subsets(quick.state, quick.dir, {"n1"});
+                RC_ASSERT(plain.send(now) == quick.send(now));
+            }
+        }));
+}
