Serving: lost capacity is not charged to the retry budget

Cause: streams that broke before the directory said that their upstream was gone were charged as retries and waited for the window to pass; after a domain's loss with 12 broken streams two stood still for more than 5 s ('A domain that goes without notice holds no stream up for long', seen failing). Now they are released, uncharged, when the directory says so, and a break on a leaving upstream counts as a move.

Silence follows the class's targets; the watch is set anew at the first token, so a stream that stops is resumed after 3 s, not 10. A second drain_started no longer reports drained twice.

--- a/src/serving/attempts.cpp
+++ b/src/serving/attempts.cpp
@@ -125,14 +125,25 @@
     return answer;
 }
 
+/// The upstream was leaving: its end is lost capacity, not a failure that
+/// the retry budget is for.
+void go_on_elsewhere(step_scope& scope, request_state& request)
+{
+    ++scope.state.counters.moves;
+    request.next_is_retry = false;
+    place(scope, request);
+}
+
 void retry(step_scope& scope, request_state& request, attempt_failure reason)
 {
+    if (reached_limit(request))
+        return finish(scope, request, limit_answer(request));
+    if (scope.state.leaving.contains(request.failed_on))
+        return go_on_elsewhere(scope, request);
     const bool spent =
         ++request.charged_attempts >= scope.state.options.limits.attempts;
     if (spent || request.retry_percent == 0)
         return fail(scope, request, error_for(reason));
-    if (reached_limit(request))
-        return finish(scope, request, limit_answer(request));
     request.next_is_retry = true;
     place(scope, request);
 }
@@ -173,6 +184,7 @@
     request.move_at.reset();
     request.last_failure = reason;
     request.may_have_run = request.may_have_run || !not_run;
+    request.failed_on = where.id;
     request.excluded.push_back(where.id);
     request.avoided.push_back(where.domain);
     if (reason == attempt_failure::malformed)
@@ -239,7 +251,10 @@
     ++attempt.next_index;
     attempt.last_progress = scope.now;
     if (!attempt.first_token)
+    {
         attempt.first_token = scope.now;
+        schedule(scope, *request);
+    }
     append(request->produced, input.text);
     emit_pieces(scope, *request);
 }
--- a/src/serving/hand_over.cpp
+++ b/src/serving/hand_over.cpp
@@ -90,7 +90,8 @@
 {
     life_cycle& state = scope.state;
     const life_cycle_limits& limits = state.options.limits;
-    state.drain = drain_state{input.deadline, input.successors, false};
+    const bool reported = state.drain && state.drain->reported;
+    state.drain = drain_state{input.deadline, input.successors, reported};
     record(scope, event_kind::process_draining, {});
     if (!input.deadline || input.successors.empty())
         return;
--- a/src/serving/life_cycle.hpp
+++ b/src/serving/life_cycle.hpp
@@ -60,7 +60,7 @@
     /// A suspect waits this long for an upstream free of other suspects.
     duration isolation_wait = 2s;
     /// No byte of a first token, or between two tokens, for this long is a
-    /// failure.
+    /// failure; more where the class's target is slow.
     duration first_silence = 10s;
     duration token_silence = 3s;
     /// How long the answer of a request that may not be repeated is waited
--- a/src/serving/moves.cpp
+++ b/src/serving/moves.cpp
@@ -53,7 +53,23 @@
     std::erase_if(
         scope.state.leaving,
         [&scope](const auto& item)
-        { return item.second + leaving_memory < scope.now; });
+        { return item.second < scope.now - leaving_memory; });
+}
+
+/// Requests that broke with `target` and wait for the retry budget: what they
+/// met was lost capacity, which is not charged.
+void release_held(step_scope& scope, const upstream_id& target)
+{
+    std::vector<request_state*> found;
+    for (const auto& [id, request] : scope.state.requests)
+        if (request->phase == request_phase::holding &&
+            request->next_is_retry && request->failed_on == target)
+            found.push_back(request.get());
+    for (request_state* request : found)
+    {
+        count_move(scope, *request);
+        place(scope, *request);
+    }
 }
 
 void end_quarantined(step_scope& scope, const std::string& fingerprint)
@@ -124,6 +140,7 @@
         count_move(scope, *request);
         place(scope, *request);
     }
+    release_held(scope, input.target);
 }
 
 void handle(step_scope& scope, const crash_reported& input)
--- a/src/serving/placing.cpp
+++ b/src/serving/placing.cpp
@@ -122,8 +122,8 @@
         return enqueue(scope, request);
     if (isolated || request.attempts_started > 0 || request.may_have_run)
     {
-        request.excluded.clear();
-        request.avoided.clear();
+        if (!isolated)
+            request.excluded.clear();
         return hold(scope, request, scope.state.options.limits.hold_pause);
     }
     refuse_arrival(scope, request, none);
@@ -139,8 +139,9 @@
         scope.state.budgets[request.request.service],
         request.retry_percent,
         scope.now);
-    if (!affordable && request.phase != request_phase::holding)
+    if (!affordable && !request.waits_for_budget)
         ++scope.state.counters.budget_waits;
+    request.waits_for_budget = !affordable;
     return !affordable;
 }
 
@@ -208,7 +209,7 @@
     action.priority = request.target.priority;
     action.silence_limit = needs_journal(request)
                                ? request.deadline - scope.now
-                               : scope.state.options.limits.first_silence;
+                               : first_silence(scope.state, request);
     return action;
 }
 
--- a/src/serving/request_state.hpp
+++ b/src/serving/request_state.hpp
@@ -106,8 +106,12 @@
     std::uint32_t charged_attempts = 0;
     /// The next attempt is charged to the retry budget.
     bool next_is_retry = false;
+    /// It was counted as waiting for the budget.
+    bool waits_for_budget = false;
     /// Why the last attempt failed.
     std::optional<attempt_failure> last_failure;
+    /// The upstream that it failed on.
+    upstream_id failed_on;
     std::vector<upstream_id> excluded;
     std::vector<failure_domain> avoided;
     /// The version of the first attempt; others come only if it has none.
--- a/src/serving/scope.cpp
+++ b/src/serving/scope.cpp
@@ -8,6 +8,10 @@
 namespace
 {
 
+/// An upstream is silent when it takes so many times its class's target.
+constexpr int late_first_token = 4;
+constexpr int late_tokens = 20;
+
 /// One step of the splitmix64 sequence: a counter makes a draw.
 std::uint64_t mix(std::uint64_t value)
 {
@@ -62,15 +66,28 @@
 
 } // namespace
 
+duration first_silence(const life_cycle& state, const request_state& request)
+{
+    return std::max(
+        state.options.limits.first_silence,
+        request.target.first_token * late_first_token);
+}
+
+duration token_silence(const life_cycle& state, const request_state& request)
+{
+    return std::max(
+        state.options.limits.token_silence,
+        request.target.token_gap * late_tokens);
+}
+
 time_point silence_end(const life_cycle& state, const request_state& request)
 {
     const running_attempt& attempt = *request.attempt;
     if (needs_journal(request) || !attempt.dispatched)
         return time_point::max();
-    const life_cycle_limits& limits = state.options.limits;
-    return attempt.last_progress + (attempt.first_token.has_value()
-                                        ? limits.token_silence
-                                        : limits.first_silence);
+    return attempt.last_progress + (attempt.first_token
+                                        ? token_silence(state, request)
+                                        : first_silence(state, request));
 }
 
 void record(
--- a/src/serving/scope.hpp
+++ b/src/serving/scope.hpp
@@ -48,6 +48,11 @@
 /// The request called `id`, or null.
 request_state* find_request(life_cycle& state, const request_id& id);
 
+/// How long the request's upstream may be silent before its first byte, and
+/// between two tokens; a class with slow targets allows more.
+duration first_silence(const life_cycle& state, const request_state& request);
+duration token_silence(const life_cycle& state, const request_state& request);
+
 /// When the current attempt counts as silent; never for one that may not be
 /// repeated, whose connection alone can still tell.
 time_point silence_end(const life_cycle& state, const request_state& request);
--- a/tests/serving/stream_test.cpp
+++ b/tests/serving/stream_test.cpp
@@ -200,6 +200,45 @@
     CHECK(w.entries[0].counters.retries == 0);
 }
 
+TEST_CASE("A domain that goes without notice holds no stream up for long")
+{
+    world w;
+    for (int i = 0; i < 36; ++i)
+        send(w, stream_request("held" + std::to_string(i), 150));
+    run_for(w, 100ms);
+    for (const auto& [id, one] : std::map(w.upstreams))
+        if (one.domain.value == "domain1")
+            kill(w, id, true);
+    run_until_answered(w, 5s);
+    for (const auto& [name, caller] : w.callers)
+        check_whole(caller, 150);
+    CHECK(w.entries[0].counters.quarantined == 0);
+}
+
+TEST_CASE("A stream that stops is resumed after its silence")
+{
+    world w;
+    const fake_caller& caller = send(w, stream_request("stop", 20));
+    run_for(w, 200ms);
+    w.attempts.begin()->second.mute = true;
+    run_for(w, 2500ms);
+    CHECK(w.dispatches["stop"] == 1);
+    run_until_answered(w, 2s);
+    check_whole(caller, 20);
+
+    SECTION("a class with slow targets waits longer")
+    {
+        w.config->classes[{"chat"}].token_gap = 1s;
+        send(w, stream_request("slow", 20));
+        run_for(w, 200ms);
+        w.attempts.begin()->second.mute = true;
+        run_for(w, 19s);
+        CHECK(w.dispatches["slow"] == 1);
+        run_for(w, 2s);
+        CHECK(w.dispatches["slow"] == 2);
+    }
+}
+
 TEST_CASE("Requests wait in their order while all upstreams are busy")
 {
     world w;
