--- a/tests/serving/crash_test.cpp
+++ b/tests/serving/crash_test.cpp
@@ -183,7 +183,8 @@
 TEST_CASE("A suspect that ends well is clear")
 {
     world w;
-    const caller_request request = stream_request("unlucky", 30);
+    const std::uint64_t length = GENERATE(30, 120);
+    const caller_request request = stream_request("unlucky", length);
     for (int i = 0; i < 3; ++i)
     {
         const fake_caller& caller =
--- a/tests/serving/drain_test.cpp
+++ b/tests/serving/drain_test.cpp
@@ -171,7 +171,7 @@
 
 TEST_CASE("What cannot end before the instance goes is told the truth")
 {
-    world w;
+    world w(2);
     w.hook = [](life_step step, std::uint64_t, fake_attempt& attempt)
     {
         if (step == life_step::first_byte_sent)
@@ -185,4 +185,10 @@
     REQUIRE(caller.error);
     CHECK(caller.error->run == run_claim::unknown);
     CHECK(w.drained_entries[0]);
+    CHECK(w.entries[0].counters.handed_over == 0);
+    CHECK(std::none_of(
+        w.log.begin(),
+        w.log.end(),
+        [](const auto& action)
+        { return std::holds_alternative<hand_over>(action); }));
 }
