--- a/tests/serving/order_test.cpp
+++ b/tests/serving/order_test.cpp
@@ -215,6 +215,26 @@
     CHECK(w.runs["order k1"] == 1);
 }
 
+TEST_CASE("An upstream that begins to leave while the journal is asked")
+{
+    world w;
+    upstream_id left;
+    at(w,
+       life_step::after_record,
+       [&](fake_attempt& record)
+       {
+           left = record.sent.target;
+           give_notice(w, left, 10s);
+       });
+    send(w, order_request("one", "k1"));
+    run_until_answered(w, 5s);
+    check_done(w.callers["r-one"]);
+    for (const auto& action : w.log)
+        if (const auto* sent = std::get_if<dispatch>(&action))
+            CHECK(sent->target != left);
+    CHECK(w.released.size() == 1);
+}
+
 TEST_CASE("A service that removes duplicates by key is asked again")
 {
     world w;
--- a/tests/serving/stream_test.cpp
+++ b/tests/serving/stream_test.cpp
@@ -200,6 +200,26 @@
     CHECK(w.entries[0].counters.retries == 0);
 }
 
+TEST_CASE("An upstream that dies in the middle of its notice is not a failure")
+{
+    world w;
+    for (auto& [id, one] : w.upstreams)
+        one.slots = 40;
+    for (int i = 0; i < 60; ++i)
+        send(w, stream_request("mid" + std::to_string(i), 150));
+    run_for(w, 100ms);
+    for (const char* id : {"llm0", "llm1"})
+    {
+        give_notice(w, {id}, 30s);
+        kill(w, {id});
+    }
+    run_until_answered(w, 5s);
+    for (const auto& [name, caller] : w.callers)
+        check_whole(caller, 150);
+    CHECK(w.entries[0].counters.moves == 20);
+    CHECK(w.entries[0].counters.retries == 0);
+}
+
 TEST_CASE("A domain that goes without notice holds no stream up for long")
 {
     world w;
