--- a/src/daemon/events_duty.cpp
+++ b/src/daemon/events_duty.cpp
@@ -97,6 +97,7 @@
     if (thread_.joinable())
         return;
     loop_.restart();
+    stopping_ = false;
     schedule_beat();
     thread_ = std::thread([this] { run(); });
 }
@@ -105,8 +106,16 @@
 {
     if (!thread_.joinable())
         return;
-    // Without the timer the loop ends once it has taken all that is queued.
-    boost::asio::post(loop_, [this] { timer_.cancel(); });
+    // Without the timer the loop ends once it has taken all that is queued. A
+    // beat that is queued already cannot be cancelled: it must not set the
+    // timer again.
+    boost::asio::post(
+        loop_,
+        [this]
+        {
+            stopping_ = true;
+            timer_.cancel();
+        });
     thread_.join();
     const std::lock_guard lock(mutex_);
     if (files_)
@@ -124,7 +133,7 @@
     timer_.async_wait(
         [this](const boost::system::error_code& error)
         {
-            if (error)
+            if (error || stopping_)
                 return;
             beat();
             schedule_beat();
--- a/src/daemon/events_duty.hpp
+++ b/src/daemon/events_duty.hpp
@@ -113,6 +113,8 @@
     boost::asio::io_context loop_;
     boost::asio::steady_timer timer_;
     std::thread thread_;
+    /// Belongs to the loop.
+    bool stopping_ = false;
     std::atomic<std::uint64_t> beats_{0};
 
     mutable std::mutex ports_mutex_;
--- a/tests/observe/events_duty_test.cpp
+++ b/tests/observe/events_duty_test.cpp
@@ -111,3 +111,34 @@
     CHECK(events.back().request.value == "after");
     std::filesystem::remove_all(folder);
 }
+
+TEST_CASE("the events duty stops while it is behind by more than a beat")
+{
+    // Long enough to write that a beat falls due meanwhile.
+    constexpr std::size_t backlog = 200'000;
+    constexpr std::size_t detail_length = 800;
+    const auto folder = std::filesystem::temp_directory_path() /
+                        ("bergamotusher_backlog_" + std::to_string(getpid()));
+    std::filesystem::remove_all(folder);
+    observe::process_clock clock;
+    events_options options;
+    options.ring_capacity = backlog;
+    options.files = observe::event_file_options{folder};
+    events_duty duty(options, clock);
+    events_port& port = duty.port("callers");
+    for (std::size_t i = 0; i < backlog; ++i)
+    {
+        event value = accepted("r");
+        value.detail.assign(detail_length, 'x');
+        port.record(std::move(value));
+    }
+    duty.start();
+    // The stop must come while the backlog is being taken.
+    observe::timeline_query any;
+    any.limit = 1;
+    while (duty.timeline(any).empty())
+        std::this_thread::yield();
+    duty.stop();
+    CHECK(duty.counters().events[event_kind::request_accepted] == backlog);
+    std::filesystem::remove_all(folder);
+}
