--- a/bench/slope_bench.cpp
+++ b/bench/slope_bench.cpp
@@ -3,7 +3,8 @@
 // them from this one process. Prints one row of a table.
 //
 //     slope_bench --pids 11,12 --admins 127.0.1.1:9080,127.0.1.2:9080
-//                 --upstreams 200 --upstream-token-file F [--seconds 10]
+//                 --upstreams 200 --upstream-token-file F
+//                 --operator-token-file F [--seconds 10] [--changes 0]
 //
 // It starts no process; tools/slopes starts and stops the daemons.
 #include "observe/ctl/arguments.hpp"
@@ -48,6 +49,9 @@
     std::vector<ctl::endpoint> admins;
     std::size_t upstreams = 0;
     std::string token;
+    std::string operator_token;
+    /// Changes of configuration a second while it measures.
+    double changes = 0;
     unsigned settle_s = 5;
     unsigned seconds = 10;
 };
@@ -203,6 +207,141 @@
     std::vector<std::thread> threads_;
 };
 
+/// A daemon's answer to an operator's request.
+ctl::http_answer operate(
+    const bench_options& options,
+    const ctl::endpoint& admin,
+    ctl::http_request request)
+{
+    request.token = options.operator_token;
+    auto result = ctl::send(admin, request, 10s);
+    if (const auto* lost = std::get_if<failure>(&result))
+        throw std::runtime_error(lost->detail);
+    auto answer = std::get<ctl::http_answer>(std::move(result));
+    if (answer.status >= 300)
+        throw std::runtime_error(
+            request.target + ": " + std::to_string(answer.status) + " " +
+            answer.body);
+    return answer;
+}
+
+double seconds_since(std::chrono::steady_clock::time_point begun)
+{
+    return std::chrono::duration<double>(
+               std::chrono::steady_clock::now() - begun)
+        .count();
+}
+
+/// Changes the configuration, one change after the other.
+class changer
+{
+public:
+    explicit changer(const bench_options& options) : options_(options) {}
+
+    /// One change; the seconds until it was committed.
+    double change()
+    {
+        ctl::http_request request;
+        request.method = http::verb::put;
+        request.target = "/v1/config/classes/slope";
+        request.body = nlohmann::json{{"priority", 1 + ++number_ % 9}}.dump();
+        request.if_match = revision_;
+        request.idempotency_key =
+            "slope-" +
+            std::to_string(
+                std::chrono::steady_clock::now().time_since_epoch().count());
+        const auto begun = std::chrono::steady_clock::now();
+        const auto answer = operate(options_, options_.admins.front(), request);
+        revision_ = std::to_string(nlohmann::json::parse(answer.body)
+                                       .at("revision")
+                                       .get<std::uint64_t>());
+        return seconds_since(begun);
+    }
+
+    /// The revision in force at one daemon.
+    std::uint64_t in_force(const ctl::endpoint& admin) const
+    {
+        ctl::http_request request;
+        request.target = "/v1/status";
+        const auto answer = operate(options_, admin, request);
+        return nlohmann::json::parse(answer.body).at("revision");
+    }
+
+    /// One change; the seconds until it is in force at the last daemon.
+    double change_everywhere()
+    {
+        const auto& first = options_.admins.front();
+        const std::uint64_t before = in_force(first);
+        const auto begun = std::chrono::steady_clock::now();
+        change();
+        for (const ctl::endpoint& admin : options_.admins)
+            while (in_force(admin) <= before && seconds_since(begun) < 30)
+                std::this_thread::yield();
+        return seconds_since(begun);
+    }
+
+    /// Begins where an earlier run ended.
+    void begin()
+    {
+        ctl::http_request request;
+        request.target = "/v1/config/classes/slope";
+        request.token = options_.operator_token;
+        const auto result = ctl::send(options_.admins.front(), request, 10s);
+        const auto* answer = std::get_if<ctl::http_answer>(&result);
+        if (answer != nullptr && !answer->etag.empty())
+            revision_ = answer->etag;
+    }
+
+private:
+    const bench_options& options_;
+    std::string revision_ = "0";
+    std::uint64_t number_ = 0;
+};
+
+/// What changes of configuration took.
+struct change_figures
+{
+    std::size_t made = 0;
+    double commit_s_mean = 0;
+    double commit_s_max = 0;
+    double in_force_s_max = 0;
+};
+
+/// Makes changes at the rate asked for, for the time asked for.
+change_figures make_changes(const bench_options& options)
+{
+    change_figures seen;
+    changer by(options);
+    by.begin();
+    const auto begun = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> interval(1 / options.changes);
+    while (seconds_since(begun) < options.seconds)
+    {
+        const double spent = by.change();
+        ++seen.made;
+        seen.commit_s_mean += spent;
+        seen.commit_s_max = std::max(seen.commit_s_max, spent);
+        std::this_thread::sleep_until(
+            begun +
+            std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+                interval * static_cast<double>(seen.made)));
+    }
+    seen.commit_s_mean /= static_cast<double>(seen.made);
+    return seen;
+}
+
+/// The slowest of a few changes to be in force at all daemons.
+double slowest_in_force(const bench_options& options)
+{
+    constexpr int tries = 5;
+    changer by(options);
+    by.begin();
+    double slowest = 0;
+    for (int i = 0; i < tries; ++i)
+        slowest = std::max(slowest, by.change_everywhere());
+    return slowest;
+}
+
 /// What one daemon has used so far.
 struct usage
 {
@@ -239,22 +378,16 @@
     return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1 << 20);
 }
 
-usage read_usage(int pid, const ctl::endpoint& admin)
+usage read_usage(
+    const bench_options& options, int pid, const ctl::endpoint& admin)
 {
     usage seen;
     seen.cpu_s = cpu_seconds(pid);
     seen.rss_mb = resident_mb(pid);
     ctl::http_request request;
     request.target = "/metrics";
-    const auto result = ctl::send(admin, request, 10s);
-    const auto* answer = std::get_if<ctl::http_answer>(&result);
-    if (answer == nullptr)
-    {
-        std::cerr << "slope_bench: " << std::get<failure>(result).detail
-                  << '\n';
-        return seen;
-    }
-    for (const auto& sample : observe::parse_metrics(answer->body))
+    const auto answer = operate(options, admin, request);
+    for (const auto& sample : observe::parse_metrics(answer.body))
     {
         if (sample.name == "peer_sent_bytes_total")
             seen.bytes_sent += sample.value;
@@ -270,7 +403,7 @@
 {
     std::vector<usage> all;
     for (std::size_t i = 0; i < options.pids.size(); ++i)
-        all.push_back(read_usage(options.pids[i], options.admins[i]));
+        all.push_back(read_usage(options, options.pids[i], options.admins[i]));
     return all;
 }
 
@@ -298,7 +431,8 @@
     const std::vector<usage>& before,
     const std::vector<usage>& after,
     double seconds,
-    std::uint64_t failed)
+    std::uint64_t failed,
+    const change_figures& changes)
 {
     const std::size_t count = before.size();
     const auto rate = [&](double usage::*member)
@@ -315,7 +449,8 @@
     const spread rss =
         over_all(count, [&](std::size_t i) { return after[i].rss_mb; });
     std::printf(
-        "%zu %zu %.2f %.2f %.1f %.1f %.0f %.0f %.0f %.0f %.1f %llu\n",
+        "%zu %zu %.2f %.2f %.1f %.1f %.0f %.0f %.0f %.0f %.1f %llu "
+        "%.1f %.1f %.1f %.1f\n",
         count,
         options.upstreams,
         100 * cpu.mean,
@@ -327,13 +462,19 @@
         received.mean,
         received.most,
         messages.mean,
-        static_cast<unsigned long long>(failed));
+        static_cast<unsigned long long>(failed),
+        static_cast<double>(changes.made) / seconds,
+        1e3 * changes.commit_s_mean,
+        1e3 * changes.commit_s_max,
+        1e3 * changes.in_force_s_max);
 }
 
 constexpr const char* table_head =
     "nodes upstreams cpu_percent cpu_percent_max rss_mb rss_mb_max "
     "sent_bytes_per_s sent_bytes_per_s_max received_bytes_per_s "
-    "received_bytes_per_s_max sent_messages_per_s failed_announcements";
+    "received_bytes_per_s_max sent_messages_per_s failed_announcements "
+    "changes_per_s "
+    "commit_ms commit_ms_max in_force_ms_max";
 
 int measure(const bench_options& options)
 {
@@ -342,12 +483,17 @@
     const auto begun = std::chrono::steady_clock::now();
     const std::uint64_t failed_before = crowd.failed();
     const auto before = read_all(options);
-    std::this_thread::sleep_for(std::chrono::seconds(options.seconds));
+    change_figures changes;
+    if (options.changes > 0)
+        changes = make_changes(options);
+    std::this_thread::sleep_until(
+        begun + std::chrono::seconds(options.seconds));
     const auto after = read_all(options);
-    const double seconds =
-        std::chrono::duration<double>(std::chrono::steady_clock::now() - begun)
-            .count();
-    print_row(options, before, after, seconds, crowd.failed() - failed_before);
+    const double seconds = seconds_since(begun);
+    const std::uint64_t failed = crowd.failed() - failed_before;
+    if (options.changes > 0)
+        changes.in_force_s_max = slowest_in_force(options);
+    print_row(options, before, after, seconds, failed, changes);
     return 0;
 }
 
@@ -379,6 +525,10 @@
     add("admins", "Of the daemons, alike", cxxopts::value<std::string>());
     add("upstreams", "To announce", cxxopts::value<std::size_t>());
     add("upstream-token-file", "", cxxopts::value<std::string>());
+    add("operator-token-file", "", cxxopts::value<std::string>());
+    add("changes",
+        "Changes of configuration a second",
+        cxxopts::value<double>()->default_value("0"));
     add("seconds", "", cxxopts::value<unsigned>()->default_value("10"));
     add("settle", "", cxxopts::value<unsigned>()->default_value("5"));
     try
@@ -399,6 +549,9 @@
         options.upstreams = given["upstreams"].as<std::size_t>();
         options.token =
             first_line(given["upstream-token-file"].as<std::string>());
+        options.operator_token =
+            first_line(given["operator-token-file"].as<std::string>());
+        options.changes = given["changes"].as<double>();
         options.seconds = given["seconds"].as<unsigned>();
         options.settle_s = given["settle"].as<unsigned>();
         return measure(options);
