--- a/src/observe/ctl/arguments.cpp
+++ b/src/observe/ctl/arguments.cpp
@@ -15,7 +15,7 @@
 
 constexpr const char* commands_help = R"(Commands:
   status                            roles, leader, revision of every process
-  config get COLLECTION NAME        classes, services or accounts
+  config get COLLECTION [NAME]      classes, services or accounts
   config put COLLECTION NAME FILE --revision N
                                     FILE - is standard input; N is 0 if new
   config history                    committed changes
@@ -30,7 +30,7 @@
 Exit status: 0 done, 1 refused or failed, 2 wrong usage, 3 no answer.
 )";
 
-/// How many words follow each command.
+/// How many words follow each command at most.
 std::size_t operands_of(command what)
 {
     switch (what)
@@ -187,7 +187,9 @@
 {
     const std::size_t wanted = operands_of(read.what);
     const std::string name(to_name(read.what));
-    if (words.size() != wanted)
+    // A collection without a name is read whole.
+    const bool whole = read.what == command::config_get && words.size() == 1;
+    if (words.size() != wanted && !whole)
         throw usage_error{
             name + ": takes " + std::to_string(wanted) + " words, got " +
             std::to_string(words.size())};
@@ -201,7 +203,7 @@
     if (read.what != command::config_get && read.what != command::config_put)
         return;
     read.collection = words[0];
-    read.name = words[1];
+    read.name = whole ? "" : words[1];
     if (read.what == command::config_put)
         read.file = words[2];
     constexpr std::array known{"classes", "services", "accounts"};
--- a/src/observe/ctl/report.cpp
+++ b/src/observe/ctl/report.cpp
@@ -82,6 +82,9 @@
 
 void add_request_sample(report& all, const metric_sample& sample)
 {
+    // Totals over all services have no labels.
+    if (!sample.labels.contains("service"))
+        return;
     for (const total_name& each : total_names())
         if (sample.name == each.name)
             all.requests[key_of(sample)].*each.member += sample.value;
--- a/tests/ctl/arguments_test.cpp
+++ b/tests/ctl/arguments_test.cpp
@@ -70,6 +70,12 @@
         CHECK(read.revision == 7);
     }
 
+    SECTION("config get of one, or of all")
+    {
+        CHECK(accepted({"config", "get", "classes", "chat"}).name == "chat");
+        CHECK(accepted({"config", "get", "classes"}).name.empty());
+    }
+
     SECTION("move start")
     {
         const auto read =
@@ -103,7 +109,9 @@
         {{"status", "--admin", "127.0.0.1:99999"}, "99999"},
         {{"status", "--timeout", "0"}, "--timeout 0"},
         {{"status", "--frobnicate"}, "frobnicate"},
+        {{"config", "get"}, "config get"},
         {{"config", "get", "zones", "x"}, "zones"},
+        {{"config", "put", "classes"}, "takes 3 words"},
         {{"config", "put", "classes", "chat", "-"}, "--revision"},
         {{"config", "put", "classes", "chat", "-", "--revision", "-1"}, "-1"},
         {{"move", "start", "wax-llm", "v2"}, "--deadline"},
--- a/tests/ctl/format_test.cpp
+++ b/tests/ctl/format_test.cpp
@@ -116,6 +116,12 @@
         request_table(all).columns.size());
     CHECK(draw_report(all).find("300.0") != std::string::npos);
 
+    SECTION("totals without a service are no row")
+    {
+        add(all, observe::parse_metrics("bergamotusher_requests_total 9\n"));
+        CHECK(all.requests.size() == 1);
+    }
+
     SECTION("a span is the difference of two readings")
     {
         report earlier;
