--- a/src/rollout/version_moves.cpp
+++ b/src/rollout/version_moves.cpp
@@ -355,14 +355,24 @@
     enter(at, move_phase::soak, share);
 }
 
+/// The part of the move's time that the soak is meant to take.
+std::int64_t soak_part(const step_context& at)
+{
+    return static_cast<std::int64_t>(
+        at.policy.soak_part * static_cast<double>(whole_time(at.move)));
+}
+
+/// The least soak; a move with little time has less, so that a good version
+/// can be completed within it.
+std::int64_t shortest_soak(const step_context& at)
+{
+    return std::min(milliseconds(at.policy.shortest_soak), soak_part(at) / 2);
+}
+
 std::int64_t soak_time(const step_context& at)
 {
-    const double part =
-        at.policy.soak_part * static_cast<double>(whole_time(at.move));
     return std::clamp(
-        static_cast<std::int64_t>(part),
-        milliseconds(at.policy.shortest_soak),
-        milliseconds(at.policy.longest_soak));
+        soak_part(at), shortest_soak(at), milliseconds(at.policy.longest_soak));
 }
 
 void progress(step_context& at)
@@ -391,8 +401,7 @@
 /// The move must have its end now.
 void end_at_deadline(step_context& at)
 {
-    if (at.move.phase == move_phase::soak &&
-        stage_age(at) >= milliseconds(at.policy.shortest_soak))
+    if (at.move.phase == move_phase::soak && stage_age(at) >= shortest_soak(at))
         return end(at, move_phase::completed, "no worse than the old version");
     end(at,
         move_phase::taken_back,
--- a/src/rollout/version_moves.hpp
+++ b/src/rollout/version_moves.hpp
@@ -48,7 +48,8 @@
     /// The version's share in the soak; the old version keeps the rest, to
     /// compare.
     double soak_share = 0.95;
-    /// Part of a move's time for the soak, and its bounds.
+    /// Part of a move's time for the soak, and its bounds. The lower bound
+    /// gives way to half of that part where the time is short.
     double soak_part = 0.35;
     duration shortest_soak = 60s;
     duration longest_soak = 15min;
--- /dev/null
+++ b/tests/daemon/http_server_test.cpp
@@ -0,0 +1,160 @@
+// The server's limits: whatever comes in, it is answered from the table of
+// errors, or cut off, and serving goes on.
+#include "daemon/http_server.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <thread>
+#include <unistd.h>
+
+using namespace bergamotusher;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+constexpr std::uint16_t port = 18'080;
+
+// A server on its own thread that answers "good" to what it can read.
+struct running_server
+{
+    running_server()
+    {
+        http_limits limits;
+        limits.header_bytes = 1024;
+        limits.body_bytes = 2048;
+        limits.receive_time = 200ms;
+        limits.idle_time = 400ms;
+        limits.unsent_bytes = 4096;
+        limits.connections = 4;
+        // A loopback address that no other test program uses.
+        where.ip = "127.9." + std::to_string(::getpid() / 250 % 250) + "." +
+                   std::to_string(1 + ::getpid() % 250);
+        where.port = port;
+        server = std::make_unique<http_server>(
+            loop,
+            where,
+            limits,
+            [this](
+                http_request&& request,
+                const std::shared_ptr<http_exchange>& exchange)
+            { handle(request, *exchange); });
+        thread = std::thread([this] { loop.run(); });
+    }
+    ~running_server()
+    {
+        loop.stop();
+        thread.join();
+    }
+
+    void handle(const http_request& request, http_exchange& exchange)
+    {
+        if (request.path() != "/flood")
+            return exchange.answer(200, {}, "good");
+        exchange.begin(200, {});
+        for (int i = 0; i < 100; ++i)
+            exchange.write(std::string(1024, 'x'));
+    }
+
+    tcp::socket connect()
+    {
+        tcp::socket socket(client_loop);
+        socket.connect({asio::ip::make_address(where.ip), where.port});
+        return socket;
+    }
+
+    // Sends `text` and reads until the server closes.
+    std::string exchange(const std::string& text)
+    {
+        tcp::socket socket = connect();
+        asio::write(socket, asio::buffer(text));
+        return read_all(socket);
+    }
+
+    static std::string read_all(tcp::socket& socket)
+    {
+        std::string answer;
+        boost::system::error_code error;
+        asio::read(socket, asio::dynamic_buffer(answer), error);
+        return answer;
+    }
+
+    endpoint where;
+    asio::io_context loop;
+    asio::io_context client_loop;
+    std::unique_ptr<http_server> server;
+    std::thread thread;
+};
+
+const std::string good =
+    "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+
+bool has(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("a server answers whatever comes in, and goes on")
+{
+    running_server running;
+    REQUIRE(has(running.exchange(good), "good"));
+
+    SECTION("a header that is too large")
+    {
+        const auto answer = running.exchange(
+            "GET / HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n");
+        CHECK(has(answer, "431"));
+        CHECK(has(answer, "header_too_large"));
+    }
+    SECTION("a body that is too large")
+    {
+        const auto answer =
+            running.exchange("POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n");
+        CHECK(has(answer, "413"));
+        CHECK(has(answer, "body_too_large"));
+    }
+    SECTION("bytes that are no HTTP")
+    {
+        const auto answer = running.exchange("\x16\x03\x01 hello\r\n\r\n");
+        CHECK(has(answer, "400"));
+        CHECK(has(answer, "not_run"));
+    }
+    SECTION("a sender that stops in the middle")
+    {
+        const auto answer = running.exchange(
+            "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+        CHECK(has(answer, "408"));
+        CHECK(has(answer, "slow_sender"));
+    }
+    SECTION("a connection without a request is closed")
+    {
+        tcp::socket socket = running.connect();
+        running.read_all(socket);
+        CHECK(running.server->counters().malformed == 0);
+    }
+    SECTION("a reader that does not read is cut off")
+    {
+        const auto answer =
+            running.exchange("GET /flood HTTP/1.1\r\nHost: x\r\n\r\n");
+        CHECK(running.server->counters().slow_readers == 1);
+        CHECK(!has(answer, "\r\n0\r\n"));
+    }
+    SECTION("more connections than the limit")
+    {
+        std::vector<tcp::socket> open;
+        for (int i = 0; i < 4; ++i)
+            open.push_back(running.connect());
+        tcp::socket one_more = running.connect();
+        CHECK(has(running.read_all(one_more), "too_many_connections"));
+        open.clear();
+        while (running.server->counters().open > 0)
+            std::this_thread::yield();
+    }
+    CHECK(has(running.exchange(good), "good"));
+}
--- a/tests/harness/caller.cpp
+++ b/tests/harness/caller.cpp
@@ -164,7 +164,8 @@
         if (!choice.at("delta").contains("content"))
             return;
         answer_.texts.push_back(choice.at("delta").at("content"));
-        answer_.event_ids.push_back(std::stoull(id));
+        if (!id.empty())
+            answer_.event_ids.push_back(std::stoull(id));
     }
 
     void finish()
--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -214,6 +214,7 @@
         "--admins=" + admins_flag(),
         "--token-file=" + folder_ + "/upstream"};
     all.insert(all.end(), flags.begin(), flags.end());
+    upstream_addresses_[name] = where;
     upstreams_.erase(name);
     upstreams_.emplace(
         name,
@@ -251,6 +252,11 @@
     return upstreams_.at(name);
 }
 
+std::string cluster::upstream_address(const std::string& name) const
+{
+    return upstream_addresses_.at(name);
+}
+
 void cluster::give_notice(
     const std::string& instance, const std::string& domain, double seconds)
 {
--- a/tests/harness/cluster.hpp
+++ b/tests/harness/cluster.hpp
@@ -46,6 +46,8 @@
     child&
     start_desk(const std::string& name, std::vector<std::string> flags = {});
     child& upstream(const std::string& name);
+    /// Where the fake called `name` listens.
+    std::string upstream_address(const std::string& name) const;
 
     /// Starts the fake cloud; before the daemons that are to watch it.
     void give_notice(
@@ -98,6 +100,7 @@
     std::vector<child> cloud_;
     std::vector<child> daemons_;
     std::map<std::string, child> upstreams_;
+    std::map<std::string, std::string> upstream_addresses_;
 };
 
 } // namespace bergamotusher::tests
