--- a/tests/harness/caller.cpp
+++ b/tests/harness/caller.cpp
@@ -158,7 +158,9 @@
 
     void take_choice(const json& value, const std::string& id)
     {
-        const json& choice = value.at("choices").at(0);
+        if (value.at("choices").empty())
+            return;
+        const json& choice = value.at("choices").front();
         if (choice.at("finish_reason").is_string())
             answer_.finish_reason = choice.at("finish_reason");
         if (!choice.at("delta").contains("content"))
