Eject slow upstreams of small and of plain services too

Cause: the measure of a group was the mean of all its answers, of which one slow upstream among three gives a third, so that 2.5 times the usual gap looked like 1.7 times; and answers without a token gap, those of plain services, were never compared. Now a slow answer counts for one and a half usual ones at most, and whole answers are compared with their median. Groups are by service and class, since one class may run several services.

Seen failing, with the code broken on purpose: no limit to what a slow answer counts for, and whole answers not compared.

--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -8,8 +8,13 @@
 namespace
 {
 
-/// Weight in the class's estimate is by answers, over all its upstreams.
-speed_estimate& class_speed(routing_state& state, const std::string& name)
+/// Times below this are not compared, in seconds.
+constexpr double least_seconds = 0.002;
+/// What a slow answer counts for at most, in usual ones.
+constexpr double most_unusual = 1.5;
+
+/// What the upstreams of a group have shown together.
+speed_estimate& group_speed(routing_state& state, const std::string& name)
 {
     return state.classes.try_emplace(name, initial_speed()).first->second;
 }
@@ -69,14 +74,33 @@
     return requests_at(estimate, now) / std::max(1U, estimate.slots);
 }
 
-/// How much slower the answer was than the class's upstreams are.
+/// How many times slower the answer was than those of the group are.
 double slowness_of(
     const speed_estimate& usual, const attempt_observed& seen, double used)
+{
+    if (seen.mean_gap)
+        return to_seconds(*seen.mean_gap) /
+               std::max(gap_at(usual, used), least_seconds);
+    if (seen.first_token && usual.whole_seconds > 0)
+        return to_seconds(*seen.first_token) /
+               std::max(usual.whole_seconds, least_seconds);
+    return 1;
+}
+
+/// Learns what is usual in the group. A slow answer counts for little more
+/// than a usual one, so that one slow upstream among few does not become the
+/// measure of the others.
+void learn_usual(
+    speed_estimate& usual, const attempt_observed& seen, double used)
 {
     if (!seen.mean_gap)
-        return 1;
-    const double expected = gap_at(usual, used);
-    return expected > 0 ? to_seconds(*seen.mean_gap) / expected : 1;
+    {
+        if (seen.first_token)
+            learn_whole_answer(usual, *seen.first_token);
+        return;
+    }
+    const duration most = from_seconds(most_unusual * gap_at(usual, used));
+    learn_gap(usual, std::min(*seen.mean_gap, most), used);
 }
 
 /// The upstream's own failure, as against a full queue.
@@ -93,7 +117,7 @@
     time_point now)
 {
     const double used = used_share(estimate, now);
-    speed_estimate& usual = class_speed(state, estimate.instance_class);
+    speed_estimate& usual = group_speed(state, estimate.peer_group);
     note_success(estimate.health, slowness_of(usual, seen, used), now);
     if (seen.first_token)
     {
@@ -103,10 +127,8 @@
         learn_first_token(usual, *seen.first_token, tokens, wait, now);
     }
     if (seen.mean_gap)
-    {
         learn_gap(estimate.speed, *seen.mean_gap, used);
-        learn_gap(usual, *seen.mean_gap, used);
-    }
+    learn_usual(usual, seen, used);
     confirm(estimate.cache, sent.cached_tokens, seen.cached_tokens);
 }
 
@@ -115,17 +137,18 @@
 void on_announced(routing_state& state, const upstream& value)
 {
     upstream_estimate& estimate = state.upstreams[value.id];
-    const bool fresh = estimate.instance_class.empty() ||
-                       value.incarnation > estimate.incarnation;
+    const std::string group = value.service.value + '/' + value.instance_class;
+    const bool fresh =
+        estimate.peer_group.empty() || value.incarnation > estimate.incarnation;
     if (fresh)
     {
         state.members = {};
         estimate = {};
         estimate.incarnation = value.incarnation;
-        estimate.speed = class_speed(state, value.instance_class);
+        estimate.speed = group_speed(state, group);
         estimate.speed.unexplained_wait = 0;
     }
-    estimate.instance_class = value.instance_class;
+    estimate.peer_group = group;
     estimate.slots = value.slots;
 }
 
--- a/src/routing/routing_state.hpp
+++ b/src/routing/routing_state.hpp
@@ -54,7 +54,8 @@
 {
     /// The start of the upstream that all of this is about.
     std::uint64_t incarnation = 0;
-    std::string instance_class;
+    /// Service and instance class: what it is compared with.
+    std::string peer_group;
     std::uint32_t slots = 1;
     load_report load;
     time_point load_at;
@@ -109,7 +110,7 @@
 struct routing_state
 {
     std::unordered_map<upstream_id, upstream_estimate> upstreams;
-    /// By instance class: what a new upstream starts from.
+    /// By peer group: what a new upstream starts from.
     std::unordered_map<std::string, speed_estimate> classes;
     /// Upstreams used of a large service; see subset.hpp.
     std::unordered_map<service_name, std::vector<upstream_id>> subsets;
--- a/src/routing/speed.cpp
+++ b/src/routing/speed.cpp
@@ -27,6 +27,8 @@
 constexpr double least_prompt_tokens = 512;
 /// Nor do first tokens of which more than this share was waiting.
 constexpr double telling_wait = 0.2;
+/// Steps of equal length up and down lead to the median.
+constexpr double median_step = 0.05;
 constexpr double wait_weight = 0.3;
 /// The unexplained wait falls by half in this time, in seconds.
 constexpr double wait_half_life = 2;
@@ -111,6 +113,17 @@
     add(speed.gap, std::clamp(used_share, 0.0, 2.0), to_seconds(seen));
 }
 
+void learn_whole_answer(speed_estimate& speed, duration seen)
+{
+    const double seconds = to_seconds(seen);
+    if (speed.whole_seconds <= 0)
+        speed.whole_seconds = seconds;
+    else if (seconds > speed.whole_seconds)
+        speed.whole_seconds *= 1 + median_step;
+    else
+        speed.whole_seconds *= 1 - median_step;
+}
+
 double gap_at(const speed_estimate& speed, double used_share)
 {
     return value_at(speed.gap, std::clamp(used_share, 0.0, 2.0));
--- a/src/routing/speed.hpp
+++ b/src/routing/speed.hpp
@@ -41,6 +41,8 @@
     /// seconds; negative if sooner.
     double unexplained_wait = 0;
     time_point wait_at;
+    /// Median time of answers that are not streams, in seconds.
+    double whole_seconds = 0;
     std::uint32_t samples = 0;
 };
 
@@ -59,6 +61,9 @@
 /// Learns from the mean gap between tokens at a share of slots in use.
 void learn_gap(speed_estimate& speed, duration seen, double used_share);
 
+/// Learns from the time to a whole answer that is not a stream.
+void learn_whole_answer(speed_estimate& speed, duration seen);
+
 /// Seconds between tokens at this share of slots in use.
 double gap_at(const speed_estimate& speed, double used_share);
 
--- a/tests/routing/choose_test.cpp
+++ b/tests/routing/choose_test.cpp
@@ -351,3 +351,48 @@
             }
         }));
 }
+
+TEST_CASE("one slow upstream among three is ejected, the others are not")
+{
+    world w;
+    const std::vector<std::string> names = {"a", "b", "c"};
+    for (const std::string& name : names)
+        w.add(name, "suva", 1);
+    const bool streams = GENERATE(true, false);
+    attempt_observed seen;
+    seen.answered_tokens = 50;
+    for (int i = 0; i < 40; ++i)
+        for (const std::string& name : names)
+        {
+            const duration time = name == "a" ? 62ms : 25ms;
+            seen.target = {name};
+            seen.first_token = time;
+            if (streams)
+                seen.mean_gap = time;
+            on_observed(w.state, seen, start);
+        }
+    const auto state_of = [&w](const char* name)
+    {
+        return w.state.upstreams.at({name}).health.state;
+    };
+    CHECK(state_of("a") == health_state::ejected);
+    CHECK(state_of("b") == health_state::healthy);
+    CHECK(state_of("c") == health_state::healthy);
+    CHECK(w.chosen() != "a");
+
+    SECTION("when all become slow, nobody new is")
+    {
+        seen.target = {"b"};
+        for (int i = 0; i < 200; ++i)
+            for (const std::string& name : names)
+            {
+                seen.target = {name};
+                seen.first_token = 40ms;
+                if (streams)
+                    seen.mean_gap = 40ms;
+                on_observed(w.state, seen, start);
+            }
+        CHECK(state_of("b") == health_state::healthy);
+        CHECK(state_of("c") == health_state::healthy);
+    }
+}
