Judge the pace of upstreams by their load reports too

Cause: with several entries each has to wait for slow answers of its own before it ejects a slow upstream. A slow sample counts for 1.2 usual ones at most in place of 1.5: with three upstreams the limit of 1.5 hid one that was 2.5 times slower than the others.

Seen failing, with the code broken on purpose: reports not judged, and no limit to what a slow report or answer counts for.

--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -283,6 +283,9 @@
         one.sent_load.id = one.value.id;
         ++one.sent_load.sequence;
         one.sent_load.running = static_cast<std::uint32_t>(one.running.size());
+        one.sent_load.tokens_per_second =
+            one.produced / to_seconds(report_interval);
+        one.produced = 0;
         one.sent_load.queued = static_cast<std::uint32_t>(one.waiting.size());
         const bool lost = w.what == scenario::cache_gaps && w.draws() % 2 == 0;
         one.unsent.id = one.value.id;
--- a/bench/engine_model.hpp
+++ b/bench/engine_model.hpp
@@ -59,6 +59,8 @@
     std::vector<job_ptr> running;
     std::list<std::uint64_t> cache;
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> held;
+    /// Tokens answered since the last report.
+    double produced = 0;
     /// What it has to tell, and what it told and is under way.
     cache_events unsent;
     std::optional<cache_events> sent_events;
@@ -155,6 +157,7 @@
             if (!work->begun || work->to_compute > 0)
                 return false;
             work->answered += to_seconds(step) / gap;
+            one.produced += to_seconds(step) / gap;
             if (work->answered < work->answer)
                 return false;
             done.push_back(work);
--- a/src/routing/health.cpp
+++ b/src/routing/health.cpp
@@ -15,6 +15,8 @@
 /// No upstream is called slow on fewer answers.
 constexpr std::uint32_t samples_to_judge = 5;
 constexpr double slowness_weight = 0.2;
+/// A load report is a coarser measure than an answer.
+constexpr double pace_weight = 0.1;
 constexpr duration first_ejection = 5s;
 constexpr std::uint32_t most_doublings = 4;
 
@@ -38,6 +40,17 @@
     record.good_probes = 0;
 }
 
+/// Takes one comparison of a healthy upstream into its mean.
+void judge(health_record& record, double ratio, double weight, time_point now)
+{
+    record.slowness += weight * (ratio - record.slowness);
+    if (++record.samples >= samples_to_judge &&
+        record.slowness >= slowness_to_eject)
+        eject(record, now);
+    else if (record.samples >= 20 * samples_to_judge)
+        record.ejections = 0;
+}
+
 } // namespace
 
 health_state state_at(const health_record& record, time_point now)
@@ -73,12 +86,13 @@
             note_good_probe(record);
         return;
     }
-    record.slowness += slowness_weight * (ratio - record.slowness);
-    if (++record.samples >= samples_to_judge &&
-        record.slowness >= slowness_to_eject)
-        eject(record, now);
-    else if (record.samples >= 20 * samples_to_judge)
-        record.ejections = 0;
+    judge(record, ratio, slowness_weight, now);
+}
+
+void note_pace(health_record& record, double ratio, time_point now)
+{
+    if (state_at(record, now) == health_state::healthy)
+        judge(record, ratio, pace_weight, now);
 }
 
 } // namespace bergamotusher::routing
--- a/src/routing/health.hpp
+++ b/src/routing/health.hpp
@@ -46,6 +46,9 @@
 /// An attempt ended well and took `ratio` times what was expected.
 void note_success(health_record& record, double ratio, time_point now);
 
+/// A load report showed `ratio` times the usual time for a token.
+void note_pace(health_record& record, double ratio, time_point now);
+
 /// The state now: an ejection that is over reads as `probation`.
 health_state state_at(const health_record& record, time_point now);
 
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -11,7 +11,11 @@
 /// Times below this are not compared, in seconds.
 constexpr double least_seconds = 0.002;
 /// What a slow answer counts for at most, in usual ones.
-constexpr double most_unusual = 1.5;
+constexpr double most_unusual = 1.2;
+/// Reports of fewer requests say little of the pace.
+constexpr std::uint32_t least_running = 2;
+/// Weight of the group's reports before any upstream is compared with them.
+constexpr double least_reports = 10;
 
 /// What the upstreams of a group have shown together.
 speed_estimate& group_speed(routing_state& state, const std::string& name)
@@ -103,6 +107,25 @@
     learn_gap(usual, std::min(*seen.mean_gap, most), used);
 }
 
+/// Compares the reported time for a token with that of the group.
+void judge_pace(
+    speed_estimate& usual, upstream_estimate& estimate, time_point now)
+{
+    const load_report& load = estimate.load;
+    if (load.running < least_running || load.tokens_per_second <= 0)
+        return;
+    const double used =
+        static_cast<double>(load.running) / std::max(1U, estimate.slots);
+    const double seen = load.running / load.tokens_per_second;
+    const double expected = value_at(usual.pace, used);
+    if (usual.pace.weight >= least_reports)
+        note_pace(estimate.health, seen / expected, now);
+    const bool known = usual.pace.weight > 0;
+    add(usual.pace,
+        used,
+        known ? std::min(seen, most_unusual * expected) : seen);
+}
+
 /// The upstream's own failure, as against a full queue.
 bool is_fault(attempt_failure reason)
 {
@@ -203,6 +226,7 @@
         return;
     estimate->load = load;
     estimate->load_at = now;
+    judge_pace(group_speed(state, estimate->peer_group), *estimate, now);
     drop_before(estimate->dispatched, now - assumed_load_lag);
     drop_before(estimate->ended, now - assumed_load_lag);
 }
--- a/src/routing/speed.hpp
+++ b/src/routing/speed.hpp
@@ -41,6 +41,9 @@
     /// seconds; negative if sooner.
     double unexplained_wait = 0;
     time_point wait_at;
+    /// The same by load reports, which count requests that still compute
+    /// their prompts.
+    decaying_line pace;
     /// Median time of answers that are not streams, in seconds.
     double whole_seconds = 0;
     std::uint32_t samples = 0;
--- a/tests/routing/choose_test.cpp
+++ b/tests/routing/choose_test.cpp
@@ -396,3 +396,23 @@
         CHECK(state_of("c") == health_state::healthy);
     }
 }
+
+TEST_CASE("load reports alone show which upstream is slow")
+{
+    world w;
+    for (const char* name : {"a", "b", "c"})
+        w.add(name, "suva", 1);
+    for (std::uint64_t i = 1; i < 60; ++i)
+        for (const char* name : {"a", "b", "c"})
+        {
+            const double rate = name[0] == 'a' ? 40 : 100;
+            on_load(w.state, {{name}, i, 3, 0, 0.5, rate}, start);
+        }
+    const auto state_of = [&w](const char* name)
+    {
+        return w.state.upstreams.at({name}).health.state;
+    };
+    CHECK(state_of("a") == health_state::ejected);
+    CHECK(state_of("b") == health_state::healthy);
+    CHECK(state_of("c") == health_state::healthy);
+}
