Let a request name upstreams outside of the entry's subset

Cause: a version on trial runs on few upstreams, which other entries' subsets need not hold; these entries would have found none. Seen failing, with the code broken on purpose: names looked for in the subset only.

--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -163,6 +163,25 @@
             visit(*entry, current(find_estimate(state, id), entry->value));
 }
 
+/// The same for the upstreams that the request names, which need not be in
+/// this entry's subset.
+template<class Visit>
+void for_each_named(
+    const directory& dir,
+    const routing_state& state,
+    const choice_request& request,
+    time_point now,
+    Visit visit)
+{
+    for (const upstream_id& id : request.only)
+    {
+        const directory_entry* entry = find(dir, id);
+        if (entry && entry->value.service == request.service &&
+            may_take_work(*entry, now))
+            visit(*entry, current(find_estimate(state, id), entry->value));
+    }
+}
+
 /// Fills `found` in place: a choice looks at many.
 void examine(
     candidate& found,
@@ -198,7 +217,10 @@
         if (all.size() < most_candidates && permitted(entry.value, request))
             examine(all.emplace_back(), entry, estimate, request, now);
     };
-    for_each_open(dir, state, request.service, now, consider);
+    if (request.only.empty())
+        for_each_open(dir, state, request.service, now, consider);
+    else
+        for_each_named(dir, state, request, now, consider);
     return all;
 }
 
--- a/tests/routing/choose_test.cpp
+++ b/tests/routing/choose_test.cpp
@@ -267,6 +267,16 @@
             fresh += same.count(id) == 0 ? 1 : 0;
         CHECK(fresh <= 1);
     }
+    SECTION("a request may name one outside of it")
+    {
+        refresh_subsets(w.state, w.dir, {"n1"});
+        const std::set<upstream_id> own(mine.begin(), mine.end());
+        int other = 0;
+        while (own.count({"w" + std::to_string(other)}) != 0)
+            ++other;
+        w.request.only = {{"w" + std::to_string(other)}};
+        CHECK(w.chosen() == w.request.only.front().value);
+    }
     SECTION("and another entry has another part")
     {
         CHECK(subset_of(w.dir, {"llm"}, {"n2"}) != mine);
