--- a/tests/routing/choose_test.cpp
+++ b/tests/routing/choose_test.cpp
@@ -267,6 +267,16 @@
             fresh += same.count(id) == 0 ? 1 : 0;
         CHECK(fresh <= 1);
     }
+    SECTION("a request may name one outside of it")
+    {
+        refresh_subsets(w.state, w.dir, {"n1"});
+        const std::set<upstream_id> own(mine.begin(), mine.end());
+        int other = 0;
+        while (own.count({"w" + std::to_string(other)}) != 0)
+            ++other;
+        w.request.only = {{"w" + std::to_string(other)}};
+        CHECK(w.chosen() == w.request.only.front().value);
+    }
     SECTION("and another entry has another part")
     {
         CHECK(subset_of(w.dir, {"llm"}, {"n2"}) != mine);
@@ -351,3 +361,68 @@
             }
         }));
 }
+
+TEST_CASE("one slow upstream among three is ejected, the others are not")
+{
+    world w;
+    const std::vector<std::string> names = {"a", "b", "c"};
+    for (const std::string& name : names)
+        w.add(name, "suva", 1);
+    const bool streams = GENERATE(true, false);
+    attempt_observed seen;
+    seen.answered_tokens = 50;
+    for (int i = 0; i < 40; ++i)
+        for (const std::string& name : names)
+        {
+            const duration time = name == "a" ? 62ms : 25ms;
+            seen.target = {name};
+            seen.first_token = time;
+            if (streams)
+                seen.mean_gap = time;
+            on_observed(w.state, seen, start);
+        }
+    const auto state_of = [&w](const char* name)
+    {
+        return w.state.upstreams.at({name}).health.state;
+    };
+    CHECK(state_of("a") == health_state::ejected);
+    CHECK(state_of("b") == health_state::healthy);
+    CHECK(state_of("c") == health_state::healthy);
+    CHECK(w.chosen() != "a");
+
+    SECTION("when all become slow, nobody new is")
+    {
+        seen.target = {"b"};
+        for (int i = 0; i < 200; ++i)
+            for (const std::string& name : names)
+            {
+                seen.target = {name};
+                seen.first_token = 40ms;
+                if (streams)
+                    seen.mean_gap = 40ms;
+                on_observed(w.state, seen, start);
+            }
+        CHECK(state_of("b") == health_state::healthy);
+        CHECK(state_of("c") == health_state::healthy);
+    }
+}
+
+TEST_CASE("load reports alone show which upstream is slow")
+{
+    world w;
+    for (const char* name : {"a", "b", "c"})
+        w.add(name, "suva", 1);
+    for (std::uint64_t i = 1; i < 60; ++i)
+        for (const char* name : {"a", "b", "c"})
+        {
+            const double rate = name[0] == 'a' ? 40 : 100;
+            on_load(w.state, {{name}, i, 3, 0, 0.5, rate}, start);
+        }
+    const auto state_of = [&w](const char* name)
+    {
+        return w.state.upstreams.at({name}).health.state;
+    };
+    CHECK(state_of("a") == health_state::ejected);
+    CHECK(state_of("b") == health_state::healthy);
+    CHECK(state_of("c") == health_state::healthy);
+}
