--- a/src/serving/admission_check.cpp
+++ b/src/serving/admission_check.cpp
@@ -62,7 +62,8 @@
     return found == config.classes.end() ? nullptr : &found->second;
 }
 
-bool read_body(request_state& state)
+/// Puts the body into its one spelling; false if it cannot be read.
+bool read_body(const step_scope& scope, request_state& state)
 {
     if (state.request.kind != upstream_kind::engine)
         return true;
@@ -72,6 +73,8 @@
     state.request.body = std::move(body->streaming);
     state.max_tokens = body->max_tokens;
     state.prompt_tokens = body->prompt_tokens;
+    if (scope.context.prefix_blocks)
+        state.prefix_blocks = scope.context.prefix_blocks(body->prompt);
     return true;
 }
 
@@ -129,13 +132,11 @@
     state->deadline = scope.now + std::min(time_left, wanted->deadline);
     if (!state->repeatable && state->request.idempotency_key.empty())
         return failure{error_kind::missing_idempotency_key, {}};
-    if (!read_body(*state))
+    if (!read_body(scope, *state))
         return failure{error_kind::malformed_request, "body"};
     state->fingerprint = fingerprint_of(state->request);
     if (is_refused_fingerprint(scope, state->fingerprint))
         return failure{error_kind::quarantined, state->fingerprint};
-    if (scope.context.prefix_blocks)
-        state->prefix_blocks = scope.context.prefix_blocks(state->request.body);
     return state;
 }
 
--- a/src/serving/life_cycle.hpp
+++ b/src/serving/life_cycle.hpp
@@ -114,8 +114,9 @@
     choose_function choose;
     wall_time wall;
     /// Hashes of the prefix blocks of a prompt, as routing makes them; may
-    /// be empty.
-    std::function<std::vector<std::uint64_t>(std::string_view body)>
+    /// be empty. The prompt is the JSON text of the messages alone, so that
+    /// other fields do not part equal prompts.
+    std::function<std::vector<std::uint64_t>(std::string_view prompt)>
         prefix_blocks;
 };
 
--- a/src/serving/stream_resume.cpp
+++ b/src/serving/stream_resume.cpp
@@ -68,9 +68,9 @@
     value["stream_options"] = {{"include_usage", true}};
     engine_body result;
     result.max_tokens = limit_of(value);
+    result.prompt = dump(value["messages"]);
     result.prompt_tokens =
-        static_cast<std::uint32_t>(dump(value["messages"]).size()) /
-        bytes_per_token;
+        static_cast<std::uint32_t>(result.prompt.size() / bytes_per_token);
     result.streaming = dump(value);
     return result;
 }
--- a/src/serving/stream_resume.hpp
+++ b/src/serving/stream_resume.hpp
@@ -19,6 +19,8 @@
     /// The body with its fields in one order and `stream` switched on; the
     /// same for all spellings of one request.
     std::string streaming;
+    /// The messages alone: what an engine's prefix cache goes by.
+    std::string prompt;
     /// Limit on answered tokens; 0 if the caller set none.
     std::uint32_t max_tokens = 0;
     /// An estimate.
