Serving: a connection refused after the request went out proves nothing

Cause: the upstreams duty sends again on a new connection when a reused one breaks before an answer. If the upstream died of the request, the attempt ended with connection_refused, which was taken as certainly not run, and as no evidence of a crash. Now an attempt that was sent and then refused counts as broken, for the claim and for the evidence ('A refused connection after the order went out proves nothing', seen failing).

--- a/src/serving/attempts.cpp
+++ b/src/serving/attempts.cpp
@@ -85,15 +85,27 @@
 void note_crash(
     step_scope& scope, const request_state& request, attempt_failure reason)
 {
-    const choice& where = request.attempt->where;
+    const running_attempt& attempt = *request.attempt;
+    const choice& where = attempt.where;
+    const bool refused = reason == attempt_failure::connection_refused;
     quarantine_state& crashes = scope.state.crashes;
-    if (reason == attempt_failure::broken)
+    if (reason == attempt_failure::broken || (refused && attempt.sent))
         note_broken(
             crashes, where.id, where.domain, request.fingerprint, scope.now);
-    if (reason == attempt_failure::connection_refused)
+    if (refused)
         note_refused(crashes, where.id, scope.now);
 }
 
+/// A connection that was refused after the request had gone out on an older
+/// one proves nothing of the request: it broke.
+attempt_failure
+proven_reason(const request_state& request, attempt_failure reason)
+{
+    const bool went_out =
+        reason == attempt_failure::connection_refused && request.attempt->sent;
+    return went_out ? attempt_failure::broken : reason;
+}
+
 failure error_for(attempt_failure reason)
 {
     switch (reason)
@@ -168,12 +180,13 @@
 }
 
 void settle_failure(
-    step_scope& scope, request_state& request, attempt_failure reason)
+    step_scope& scope, request_state& request, attempt_failure told)
 {
+    note_crash(scope, request, told);
+    const attempt_failure reason = proven_reason(request, told);
     const bool not_run = certainly_not_run(request, reason);
     const choice where = request.attempt->where;
     observe_failure(scope, request, reason);
-    note_crash(scope, request, reason);
     record(
         scope,
         event_kind::attempt_failed,
@@ -231,8 +244,10 @@
 void handle(step_scope& scope, const attempt_sent& input)
 {
     request_state* request = current(scope, input.attempt);
-    if (request != nullptr)
-        request->attempt->last_progress = scope.now;
+    if (request == nullptr)
+        return;
+    request->attempt->sent = true;
+    request->attempt->last_progress = scope.now;
 }
 
 void handle(step_scope& scope, const attempt_token& input)
--- a/src/serving/request_state.hpp
+++ b/src/serving/request_state.hpp
@@ -37,6 +37,8 @@
     choice where;
     /// Set once it was handed to the upstream's connection to send.
     bool dispatched = false;
+    /// The upstream's connection took the whole request.
+    bool sent = false;
     /// The upstream went away while the journal was asked.
     bool target_lost = false;
     time_point started;
--- a/tests/serving/order_test.cpp
+++ b/tests/serving/order_test.cpp
@@ -146,6 +146,32 @@
     CHECK(w.runs["order k1"] == 1);
 }
 
+TEST_CASE("A refused connection after the order went out proves nothing")
+{
+    world w;
+    at(w,
+       life_step::first_byte_sent,
+       [&w](fake_attempt& attempt)
+       {
+           attempt.mute = true;
+           later(
+               w,
+               5ms,
+               0,
+               attempt_failed{
+                   attempt.sent.attempt,
+                   attempt_failure::connection_refused,
+                   0,
+                   {}});
+       });
+    send(w, order_request("one", "k1"));
+    run_until_answered(w, 5s);
+    check_error(
+        w.callers["r-one"], error_kind::outcome_unknown, run_claim::unknown);
+    CHECK(w.runs["order k1"] == 1);
+    CHECK(w.released.empty());
+}
+
 TEST_CASE("A refused order goes to another upstream under a new record")
 {
     world w;
