Serving: an ended request gives the memory of its body back

Cause: assigning an empty string kept the capacity, so each kept answer also kept the request's body and its prefix blocks. Ruled out: growth of the delivered text, which is trimmed.

--- a/src/serving/answers.cpp
+++ b/src/serving/answers.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Bytes that tables and short strings take for each kept answer, roughly.
+constexpr std::size_t entry_overhead = 512;
+
 constexpr std::string_view stream_of_events = "text/event-stream";
 
 /// While a successor decides, nothing more is given out: what it has been
@@ -104,12 +107,13 @@
 void keep_ended(step_scope& scope, request_state& request)
 {
     life_cycle& state = scope.state;
-    request.request.body = {};
-    request.prefix_blocks = {};
+    // An assignment would keep the memory.
+    std::string().swap(request.request.body);
+    std::vector<std::uint64_t>().swap(request.prefix_blocks);
     request.produced.text.shrink_to_fit();
     request.produced.ends.shrink_to_fit();
     request.forget_at = scope.now + state.options.limits.answer_kept;
-    request.kept_bytes = sizeof(request_state) +
+    request.kept_bytes = sizeof(request_state) + entry_overhead +
                          size_in_memory(request.produced) +
                          request.ending->body.size();
     state.ended_bytes += request.kept_bytes;
--- a/tests/serving/stream_test.cpp
+++ b/tests/serving/stream_test.cpp
@@ -42,6 +42,12 @@
     CHECK(w.dispatches["ledger"] == 1);
     CHECK(count_of<attempt_observed>(w) == 1);
 
+    SECTION("and keeps its answer alone, without what it was asked")
+    {
+        const auto& kept = *w.entries[0].requests.at({"r-ledger"});
+        CHECK(kept.request.body.capacity() < 32);
+        CHECK(kept.produced.text == expected_text("ledger", 12));
+    }
     SECTION("and is forgotten when its answer was kept long enough")
     {
         CHECK(w.entries[0].requests.size() == 1);
