Serving: a full queue does not refuse a request that was taken over

Cause: an entry that took a request over answered that it had it, then refused it when its own queue was full, since no attempt of it had started there ('A successor that has no room keeps what it took', seen failing). Whatever may have run elsewhere counts as accepted now.

--- a/src/serving/placing.cpp
+++ b/src/serving/placing.cpp
@@ -310,7 +310,8 @@
     const bool is_new = request.phase != request_phase::waiting;
     const bool full = scope.state.waiting_count >=
                       scope.state.options.limits.waiting_requests;
-    if (is_new && full && request.attempts_started == 0)
+    const bool accepted = request.attempts_started > 0 || request.may_have_run;
+    if (is_new && full && !accepted)
         return refuse_arrival(scope, request, {no_choice_reason::wait, {}});
     set_phase(scope, request, request_phase::waiting);
     schedule(scope, request);
--- a/tests/serving/drain_test.cpp
+++ b/tests/serving/drain_test.cpp
@@ -106,6 +106,22 @@
     }
 }
 
+TEST_CASE("A successor that has no room keeps what it took")
+{
+    world w(2);
+    for (auto& [id, one] : w.upstreams)
+        one.slots = 1;
+    w.entries[1].options.limits.waiting_requests = 0;
+    for (int i = 0; i < 6; ++i)
+        send(w, stream_request("tight" + std::to_string(i), 200));
+    run_for(w, 100ms);
+    drain(w, duration(2s));
+    run_until_answered(w, 25s);
+    for (int i = 0; i < 6; ++i)
+        check_whole(w.callers["r-tight" + std::to_string(i)], 200);
+    CHECK(w.entries[0].counters.handed_over == 6);
+}
+
 TEST_CASE("A hand-over whose answer is lost leaves the request here")
 {
     world w(2);
