--- a/bench/slope_bench.cpp
+++ b/bench/slope_bench.cpp
@@ -30,6 +30,7 @@
 #include <string>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 using namespace bergamotusher;
@@ -77,15 +78,21 @@
         request.set(http::field::content_type, "application/json");
         request.body() = body;
         request.prepare_payload();
-        http::write(socket_, request, error);
+        bytes_ += http::write(socket_, request, error);
         http::response<http::string_body> response;
         if (!error)
-            http::read(socket_, buffer_, response, error);
+            bytes_ += http::read(socket_, buffer_, response, error);
         if (error || !response.keep_alive())
             close();
         return !error && response.result_int() < 300;
     }
 
+    /// Bytes of all requests and answers since the last call.
+    std::uint64_t take_bytes()
+    {
+        return std::exchange(bytes_, 0);
+    }
+
 private:
     bool connect()
     {
@@ -110,6 +117,7 @@
     boost::asio::io_context loop_;
     boost::asio::ip::tcp::socket socket_{loop_};
     boost::beast::flat_buffer buffer_;
+    std::uint64_t bytes_ = 0;
 };
 
 std::string announcement(std::size_t number)
@@ -162,9 +170,10 @@
     announcers(const announcers&) = delete;
     announcers& operator=(const announcers&) = delete;
 
-    std::uint64_t sent() const
+    /// Of announcements, events and their answers.
+    std::uint64_t bytes() const
     {
-        return sent_;
+        return bytes_;
     }
     std::uint64_t failed() const
     {
@@ -197,6 +206,7 @@
             path + "/worker-" + std::to_string(number) + "/events",
             options_.token,
             load_of(number, sequence));
+        bytes_ += to.take_bytes();
         ++(announced && reported ? sent_ : failed_);
     }
 
@@ -204,6 +214,7 @@
     std::atomic<bool> stopping_{false};
     std::atomic<std::uint64_t> sent_{0};
     std::atomic<std::uint64_t> failed_{0};
+    std::atomic<std::uint64_t> bytes_{0};
     std::vector<std::thread> threads_;
 };
 
@@ -426,12 +437,19 @@
     return result;
 }
 
+/// What the announcers did while it measured.
+struct crowd_figures
+{
+    std::uint64_t failed = 0;
+    std::uint64_t bytes = 0;
+};
+
 void print_row(
     const bench_options& options,
     const std::vector<usage>& before,
     const std::vector<usage>& after,
     double seconds,
-    std::uint64_t failed,
+    const crowd_figures& crowd,
     const change_figures& changes)
 {
     const std::size_t count = before.size();
@@ -450,7 +468,7 @@
         over_all(count, [&](std::size_t i) { return after[i].rss_mb; });
     std::printf(
         "%zu %zu %.2f %.2f %.1f %.1f %.0f %.0f %.0f %.0f %.1f %llu "
-        "%.1f %.1f %.1f %.1f\n",
+        "%.1f %.1f %.1f %.1f %.0f\n",
         count,
         options.upstreams,
         100 * cpu.mean,
@@ -462,11 +480,13 @@
         received.mean,
         received.most,
         messages.mean,
-        static_cast<unsigned long long>(failed),
+        static_cast<unsigned long long>(crowd.failed),
         static_cast<double>(changes.made) / seconds,
         1e3 * changes.commit_s_mean,
         1e3 * changes.commit_s_max,
-        1e3 * changes.in_force_s_max);
+        1e3 * changes.in_force_s_max,
+        static_cast<double>(crowd.bytes) / seconds /
+            static_cast<double>(std::max<std::size_t>(1, options.upstreams)));
 }
 
 constexpr const char* table_head =
@@ -474,14 +494,14 @@
     "sent_bytes_per_s sent_bytes_per_s_max received_bytes_per_s "
     "received_bytes_per_s_max sent_messages_per_s failed_announcements "
     "changes_per_s "
-    "commit_ms commit_ms_max in_force_ms_max";
+    "commit_ms commit_ms_max in_force_ms_max announce_bytes_per_s_upstream";
 
 int measure(const bench_options& options)
 {
     const announcers crowd(options);
     std::this_thread::sleep_for(std::chrono::seconds(options.settle_s));
     const auto begun = std::chrono::steady_clock::now();
-    const std::uint64_t failed_before = crowd.failed();
+    const crowd_figures earlier{crowd.failed(), crowd.bytes()};
     const auto before = read_all(options);
     change_figures changes;
     if (options.changes > 0)
@@ -490,10 +510,11 @@
         begun + std::chrono::seconds(options.seconds));
     const auto after = read_all(options);
     const double seconds = seconds_since(begun);
-    const std::uint64_t failed = crowd.failed() - failed_before;
+    const crowd_figures during{
+        crowd.failed() - earlier.failed, crowd.bytes() - earlier.bytes};
     if (options.changes > 0)
         changes.in_force_s_max = slowest_in_force(options);
-    print_row(options, before, after, seconds, failed, changes);
+    print_row(options, before, after, seconds, during, changes);
     return 0;
 }
 
