--- a/src/observe/ctl/arguments.cpp
+++ b/src/observe/ctl/arguments.cpp
@@ -17,7 +17,8 @@
   status                            roles, leader, revision of every process
   config get COLLECTION [NAME]      classes, services or accounts
   config put COLLECTION NAME FILE --revision N
-                                    FILE - is standard input; N is 0 if new
+                                    FILE - is standard input; N is the revision
+                                    that config get shows, 0 at the very first
   config history                    committed changes
   move start SERVICE VERSION --deadline SECONDS
   move show ID
@@ -217,7 +218,8 @@
 {
     read.idempotency_key = text_of(flags, "idempotency-key");
     if (read.what == command::config_put && flags.count("revision") == 0)
-        throw usage_error{"config put: --revision is required (0 if new)"};
+        throw usage_error{
+            "config put: --revision is required (see config get)"};
     if (read.what == command::move_start && flags.count("deadline") == 0)
         throw usage_error{"move start: --deadline is required"};
     read_number(flags, "revision", std::uint64_t{0}, read.revision);
--- a/src/observe/ctl/arguments.hpp
+++ b/src/observe/ctl/arguments.hpp
@@ -64,7 +64,8 @@
     std::string name;
     /// Where the new value is read from; `-` is standard input.
     std::string file;
-    /// The revision that the change is based on; 0: it is new.
+    /// The configuration's revision that the change is based on; 0: nothing
+    /// was ever set.
     std::uint64_t revision = 0;
 
     std::string service;
