--- a/src/observe/ctl/run.cpp
+++ b/src/observe/ctl/run.cpp
@@ -1,6 +1,7 @@
 #include "observe/ctl/run.hpp"
 
 #include "observe/ctl/report_command.hpp"
+#include "observe/ctl/status_command.hpp"
 #include "observe/ctl/table.hpp"
 #include "observe/ctl/timeline_command.hpp"
 #include "observe/timeline_query.hpp"
@@ -170,6 +171,8 @@
 {
     if (asked.what == command::timeline)
         return run_timeline(asked, world);
+    if (asked.what == command::status)
+        return run_status(asked, world);
     if (asked.what == command::report)
         return run_report(asked, world);
     return run_simple(asked, world);
--- a/tests/ctl/run_test.cpp
+++ b/tests/ctl/run_test.cpp
@@ -156,7 +156,7 @@
             return http_answer{
                 412, "", R"({"kind":"revision_conflict","detail":"at 9"})"};
         };
-        CHECK(on.run(asking(command::status)) == exit_code::refused);
+        CHECK(on.run(asking(command::upstreams)) == exit_code::refused);
         CHECK(on.err.str() == "bergamotctl: revision_conflict: at 9\n");
     }
 
@@ -182,6 +182,33 @@
     }
 }
 
+TEST_CASE("status shows every process that answers")
+{
+    stage on;
+    on.answer = [](const endpoint& to, const http_request&) -> http_result
+    {
+        if (to.port == "1")
+            return failure{error_kind::peer_unreachable, "no e1"};
+        return ok(
+            {{"node", "e2"},
+             {"ready", true},
+             {"control", {{"role", "leader"}, {"term", 3}}}});
+    };
+    CHECK(on.run(asking(command::status)) == exit_code::done);
+    CHECK(on.err.str().find("no e1") != std::string::npos);
+    CHECK(on.out.str().find("e2") != std::string::npos);
+    CHECK(on.out.str().find("leader") != std::string::npos);
+
+    SECTION("and fails if each refuses")
+    {
+        on.answer = [](const auto&, const auto&)
+        {
+            return http_answer{401, "", R"({"kind":"unauthenticated"})"};
+        };
+        CHECK(on.run(asking(command::status)) == exit_code::refused);
+    }
+}
+
 TEST_CASE("the time line of all processes comes in one order")
 {
     stage on;
