Report upstreams that come back after their lease had lapsed

Cause: routing forgets what it knew when a lapse is reported, but a return of the same incarnation was reported as a mere renewal, so that nothing would have been learned of the upstream again. Seen failing, with the code broken on purpose: a return by announcement and one by delta unreported.

--- a/src/membership/directory.cpp
+++ b/src/membership/directory.cpp
@@ -126,8 +126,10 @@
         return join(dir, value, now);
     if (known.value.state != upstream_state::serving)
         return announce_outcome::not_serving;
+    const bool returned = known.expiry_reported;
     renew(known, now);
-    return update(dir, known, value);
+    const announce_outcome outcome = update(dir, known, value);
+    return returned ? announce_outcome::joined : outcome;
 }
 
 bool leave(
--- a/src/membership/directory.hpp
+++ b/src/membership/directory.hpp
@@ -81,7 +81,7 @@
 /// What `announce` did.
 enum class announce_outcome
 {
-    /// First heard of, or a newer incarnation.
+    /// First heard of, a newer incarnation, or back after `expire` reported it.
     joined,
     /// Same incarnation, other content.
     changed,
--- a/src/membership/directory_delta.cpp
+++ b/src/membership/directory_delta.cpp
@@ -83,14 +83,17 @@
     return offset - peer.least_offset;
 }
 
-void extend_lease(directory_entry& entry, duration age, time_point now)
+/// True if the upstream is back after `expire` reported it.
+bool extend_lease(directory_entry& entry, duration age, time_point now)
 {
     const time_point until = now - age + upstream_lease;
     if (until <= entry.lease_until)
-        return;
+        return false;
     entry.lease_until = until;
-    if (until > now)
-        entry.expiry_reported = false;
+    if (until <= now || !entry.expiry_reported)
+        return false;
+    entry.expiry_reported = false;
+    return true;
 }
 
 void take_reclaim(
@@ -130,9 +133,10 @@
         next.value = record.value;
     next.value.state = std::max(known.value.state, record.value.state);
     next.revision = std::max(known.revision, record.revision);
-    extend_lease(next, age, now);
+    const bool returned = extend_lease(next, age, now);
     take_reclaim(next, record, now);
-    const bool changed = newer || next.value.state != known.value.state;
+    const bool changed =
+        returned || newer || next.value.state != known.value.state;
     store(dir, std::move(next));
     return changed;
 }
@@ -161,16 +165,17 @@
     return join_record(dir, found->second, record, age, now);
 }
 
-void merge_renewal(
+/// True if the upstream is back after `expire` reported it.
+bool merge_renewal(
     directory& dir,
     const directory_renewal& renewal,
     duration age,
     time_point now)
 {
     const auto found = dir.entries.find(renewal.id);
-    if (found != dir.entries.end() &&
-        found->second.value.incarnation == renewal.incarnation)
-        extend_lease(found->second, age, now);
+    return found != dir.entries.end() &&
+           found->second.value.incarnation == renewal.incarnation &&
+           extend_lease(found->second, age, now);
 }
 
 std::optional<directory_delta> answer_to(
@@ -251,7 +256,8 @@
         if (merge_record(dir, record, record.age + excess, now))
             result.changed.push_back(record.value.id);
     for (const directory_renewal& renewal : delta.renewals)
-        merge_renewal(dir, renewal, renewal.age + excess, now);
+        if (merge_renewal(dir, renewal, renewal.age + excess, now))
+            result.changed.push_back(renewal.id);
     result.loads = delta.loads;
     result.caches = delta.caches;
     result.answer = answer_to(dir, delta.digest, now);
--- a/src/membership/directory_delta.hpp
+++ b/src/membership/directory_delta.hpp
@@ -70,7 +70,8 @@
 /// What a merged delta brought.
 struct merge_result
 {
-    /// Upstreams that are new, or whose content or state has changed.
+    /// Upstreams that are new, that are back after `expire` reported them, or
+    /// whose content or state has changed.
     std::vector<upstream_id> changed;
     /// For `routing::on_load` and `routing::on_cache_events`.
     std::vector<load_report> loads;
--- a/src/routing/routing_state.hpp
+++ b/src/routing/routing_state.hpp
@@ -119,6 +119,8 @@
 };
 
 /// An upstream announced itself or changed; a new incarnation starts afresh.
+/// To be called for `joined` and `changed` announcements and for each upstream
+/// in `merge_result::changed`; nothing is learned of others.
 void on_announced(routing_state& state, const upstream& value);
 
 /// A request was sent to the upstream of `made`.
--- a/tests/membership/directory_delta_test.cpp
+++ b/tests/membership/directory_delta_test.cpp
@@ -67,6 +67,14 @@
     {
         send(one, a, two, b, start + 1s);
         CHECK_FALSE(takes_work(two, "w1", start + 2s));
+        SECTION("and its return")
+        {
+            expire(two, start + 2s);
+            announce(one, worker("w1"), start + 3s);
+            const auto delta = collect_delta(one, a, 1, start + 3s);
+            CHECK(merge(two, delta, b, 1, start + 3s).changed.size() == 1);
+            CHECK(takes_work(two, "w1", start + 3s));
+        }
     }
     SECTION("it leaves by the other entry, and the first one hears of it")
     {
--- a/tests/membership/directory_test.cpp
+++ b/tests/membership/directory_test.cpp
@@ -55,7 +55,9 @@
         CHECK(expire(dir, start + leaving_limit).empty());
         SECTION("and gets work again when it is heard of again")
         {
-            announce(dir, worker(), start + 3s);
+            CHECK(
+                announce(dir, worker(), start + 3s) ==
+                announce_outcome::joined);
             CHECK(takes_work(dir, start + 3s));
         }
     }
