--- a/src/daemon/admin_duty.cpp
+++ b/src/daemon/admin_duty.cpp
@@ -1,13 +1,10 @@
 #include "daemon/admin_duty.hpp"
 
-#include "observe/event_json.hpp"
-#include "observe/hybrid_clock.hpp"
+#include "observe/timeline_query.hpp"
 
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 
-#include <charconv>
-
 namespace bergamotusher
 {
 
@@ -17,7 +14,6 @@
 constexpr std::string_view bearer = "Bearer ";
 constexpr std::string_view upstreams_path = "/v1/upstreams";
 constexpr std::string_view events_suffix = "/events";
-constexpr std::size_t most_events = 10'000;
 constexpr int first_error_status = 400;
 
 using exchange_ptr = std::shared_ptr<http_exchange>;
@@ -129,47 +125,18 @@
     answer_problem(exchange, {error_kind::method_not_allowed, ""});
 }
 
-std::variant<observe::timeline_query, failure>
-parse_query(const http_request& request)
-{
-    observe::timeline_query query;
-    query.request.value = request.query("request");
-    query.move.value = request.query("move");
-    query.target.value = request.query("upstream");
-    if (const std::string since = request.query("since"); !since.empty())
-    {
-        query.since = observe::parse_hybrid_time(since);
-        if (!query.since)
-            return failure{
-                error_kind::malformed_request, "since is no hybrid time"};
-    }
-    if (const std::string limit = request.query("limit"); !limit.empty())
-    {
-        const char* end = limit.data() + limit.size();
-        const auto parsed = std::from_chars(limit.data(), end, query.limit);
-        if (parsed.ec != std::errc{} || parsed.ptr != end ||
-            query.limit > most_events)
-            return failure{
-                error_kind::malformed_request,
-                "limit is no number up to 10000"};
-    }
-    return query;
-}
-
 void answer_timeline(
     duty_state& duty, const http_request& request, http_exchange& exchange)
 {
-    const auto query = parse_query(request);
+    const auto query = observe::parse_timeline_query(request.query_text());
     if (const auto* wrong = std::get_if<failure>(&query))
         return answer_problem(exchange, *wrong);
-    nlohmann::json list = nlohmann::json::array();
-    for (const event& one :
-         duty.options.timeline(std::get<observe::timeline_query>(query)))
-        list.push_back(observe::encode_event(one));
+    const auto events =
+        duty.options.timeline(std::get<observe::timeline_query>(query));
     answer_json(
         exchange,
         200,
-        nlohmann::json{{"events", list}}.dump(
+        observe::encode_timeline(events).dump(
             -1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
--- a/src/daemon/admission_gate.cpp
+++ b/src/daemon/admission_gate.cpp
@@ -1,5 +1,6 @@
 #include "daemon/admission_gate.hpp"
 
+#include "routing/choose.hpp"
 #include "serving/stream_resume.hpp"
 #include "wire/budget.pb.h"
 
@@ -21,21 +22,9 @@
 admission::capacity_view
 capacity_of(const upstream_view& view, const service_name& name, time_point now)
 {
-    admission::capacity_view capacity;
-    const auto found = view.directory.by_service.find(name);
-    if (found == view.directory.by_service.end())
-        return capacity;
-    for (const upstream_id& id : found->second)
-    {
-        const auto* entry = membership::find(view.directory, id);
-        if (entry == nullptr || !membership::may_take_work(*entry, now))
-            continue;
-        const double slots = entry->value.slots;
-        capacity.total += slots;
-        capacity.free +=
-            slots * std::max(0.0, 1 - utilisation(view, entry->value, now));
-    }
-    return capacity;
+    const auto slots =
+        routing::count_slots(view.directory, view.routing, name, now);
+    return {slots.total, slots.free};
 }
 
 double tokens_of(const caller_request& request)
--- a/src/daemon/http_server.cpp
+++ b/src/daemon/http_server.cpp
@@ -409,16 +409,10 @@
     return target.substr(0, target.find('?'));
 }
 
-std::string http_request::query(const std::string& name) const
+std::string http_request::query_text() const
 {
     const std::size_t mark = target.find('?');
-    if (mark == std::string::npos)
-        return {};
-    std::istringstream parts(target.substr(mark + 1));
-    for (std::string part; std::getline(parts, part, '&');)
-        if (part.compare(0, name.size() + 1, name + "=") == 0)
-            return part.substr(name.size() + 1);
-    return {};
+    return mark == std::string::npos ? std::string() : target.substr(mark + 1);
 }
 
 http_server::http_server(
--- a/src/daemon/http_server.hpp
+++ b/src/daemon/http_server.hpp
@@ -51,8 +51,8 @@
     std::string header(const std::string& name) const;
     /// The target without its query.
     std::string path() const;
-    /// The value of query parameter `name`, or an empty string.
-    std::string query(const std::string& name) const;
+    /// What stands after `?` in the target.
+    std::string query_text() const;
 };
 
 /// Header fields of an answer.
--- a/src/daemon/process_report.cpp
+++ b/src/daemon/process_report.cpp
@@ -65,7 +65,7 @@
     to.counter("retries_total", counters.retries);
     to.counter("resumes_total", counters.resumes);
     to.counter("moved_off_leaving_total", counters.moves);
-    to.counter("recomputed_tokens_total", counters.recomputed_tokens);
+    to.counter("resume_recomputed_tokens_total", counters.recomputed_tokens);
     to.counter("late_inputs_total", counters.late_inputs);
     to.counter("duplicate_tokens_total", counters.duplicate_tokens);
     to.counter("malformed_answers_total", counters.malformed_answers);
--- a/src/daemon/serving_duty.cpp
+++ b/src/daemon/serving_duty.cpp
@@ -6,6 +6,7 @@
 #include "daemon/supervisor.hpp"
 #include "daemon/upstream_view.hpp"
 #include "daemon/version_watch.hpp"
+#include "observe/attempt_observation.hpp"
 #include "routing/prefix.hpp"
 #include "wire/directory_codec.hpp"
 #include "wire/serving_codec.hpp"
@@ -21,7 +22,7 @@
 {
 
 constexpr duration tick_interval = 10ms;
-constexpr duration gossip_interval = 200ms;
+constexpr duration gossip_interval = 250ms;
 constexpr duration evidence_interval = 250ms;
 // For answers that callers got just before this entry left them.
 constexpr duration address_margin = 500ms;
@@ -175,6 +176,9 @@
         seen.key.band = band_of(
             utilisation(duty.view, entry->value, at) * entry->value.slots,
             entry->value.slots);
+    if (auto counted = observe::request_of(
+            seen, entry == nullptr ? nullptr : &entry->value))
+        duty.links.events.observe(std::move(*counted));
     note(duty.view, seen, at);
     rollout::observe(duty.versions.recorder, seen, at);
 }
@@ -219,6 +223,14 @@
     return true;
 }
 
+// Sends the callers duty what a caller is told, and counts errors.
+void answer(duty_state& duty, serving_action&& action)
+{
+    if (const auto* error = std::get_if<answer_error>(&action))
+        duty.links.events.observe(observe::error_observed{error->error.kind});
+    duty.callers.send(std::move(action));
+}
+
 bool ends_request(event_kind kind)
 {
     return kind == event_kind::request_finished ||
@@ -256,7 +268,7 @@
     else if (std::holds_alternative<drained>(action))
         duty.links.on_drained();
     else if (!tell_peers(duty, action))
-        duty.callers.send(std::move(action));
+        answer(duty, std::move(action));
 }
 
 void refuse(duty_state& duty, answer_error&& refusal)
@@ -267,7 +279,7 @@
     happened.detail = std::string(answer_of(refusal.error.kind).name);
     record(duty, std::move(happened));
     ++duty.refused_at_gate;
-    duty.callers.send(std::move(refusal));
+    answer(duty, std::move(refusal));
 }
 
 // An entry that cannot confirm its configuration takes no new work.
@@ -355,6 +367,19 @@
     view.malformed_messages = duty.malformed_messages;
     view.refused_at_gate = duty.refused_at_gate;
     duty.shown.store(std::move(view));
+    const auto show = [&duty](observe::gauge name, double value)
+    {
+        duty.links.events.observe(observe::gauge_observed{name, value});
+    };
+    show(
+        observe::gauge::upstreams_known,
+        static_cast<double>(duty.view.directory.entries.size()));
+    show(
+        observe::gauge::requests_open,
+        static_cast<double>(duty.requests.open_count));
+    show(
+        observe::gauge::configuration_revision,
+        static_cast<double>(duty.committed->revision));
 }
 
 void report_self(duty_state& duty, time_point at)
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -175,6 +175,11 @@
     }
     if (!into.entry_role && !into.control_role)
         from.fail("roles", "needs at least one role");
+    if (!into.control_role)
+        from.fail(
+            "roles",
+            "needs control: an entry has its configuration from the replica "
+            "in its own process");
     if (into.control_role && from.value("data-dir").empty())
         from.fail("data-dir", "is needed by the role control");
 }
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -92,6 +92,7 @@
     CHECK(reason({"--entry-address=127.0.0.1:0"}) != "accepted");
     CHECK(reason({"--entry-address=127.0.0.1:65536"}) != "accepted");
     CHECK(reason({"--roles=cook"}).find("--roles='cook'") == 0);
+    CHECK(reason({"--roles=entry"}).find("--roles='entry'") == 0);
     CHECK(reason({"--peers=n2=127.0.0.1:1@d"}).find("this process") < 200);
     CHECK(reason({"--peers=n1=127.0.0.1:1@d,n1=127.0.0.1:2@d"}) != "accepted");
     CHECK(reason({"--log-level=loud"}) != "accepted");
