--- a/src/daemon/http_server.cpp
+++ b/src/daemon/http_server.cpp
@@ -119,7 +119,7 @@
     {
         send_head(status, fields, body.size());
         if (!body.empty())
-            push(std::move(body));
+            push(body);
         finish();
     }
 
@@ -129,13 +129,13 @@
         chunked_ = true;
     }
 
-    void write(std::string piece) override
+    void write(const std::string& piece) override
     {
         if (piece.empty())
             return;
         char size[32];
         std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
-        push(size + std::move(piece) + "\r\n");
+        push(size + piece + "\r\n");
     }
 
     void end() override
@@ -273,7 +273,7 @@
         push(out.str());
     }
 
-    void push(std::string piece)
+    void push(const std::string& piece)
     {
         if (closed_)
             return;
@@ -348,7 +348,7 @@
             handler();
     }
 
-    static constexpr std::size_t read_size = 8 * 1024;
+    static constexpr std::size_t read_size = std::size_t{8} << 10;
 
     beast::tcp_stream stream_;
     const http_limits& limits_;
@@ -409,16 +409,10 @@
     return target.substr(0, target.find('?'));
 }
 
-std::string http_request::query(const std::string& name) const
+std::string http_request::query_text() const
 {
     const std::size_t mark = target.find('?');
-    if (mark == std::string::npos)
-        return {};
-    std::istringstream parts(target.substr(mark + 1));
-    for (std::string part; std::getline(parts, part, '&');)
-        if (part.compare(0, name.size() + 1, name + "=") == 0)
-            return part.substr(name.size() + 1);
-    return {};
+    return mark == std::string::npos ? std::string() : target.substr(mark + 1);
 }
 
 http_server::http_server(
--- a/src/membership/directory.hpp
+++ b/src/membership/directory.hpp
@@ -69,6 +69,8 @@
     std::map<upstream_id, time_point> noticed;
     std::map<failure_domain, time_point> noticed_domains;
     std::map<node_id, peer_clock> peers;
+    /// When the next delta carries a digest.
+    time_point digest_due;
     /// Events to relay with the next delta.
     std::map<upstream_id, load_report> loads;
     std::vector<cache_events> caches;
@@ -79,7 +81,7 @@
 /// What `announce` did.
 enum class announce_outcome
 {
-    /// First heard of, or a newer incarnation.
+    /// First heard of, a newer incarnation, or back after `expire` reported it.
     joined,
     /// Same incarnation, other content.
     changed,
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 
 namespace bergamotusher::routing
 {
@@ -21,7 +22,14 @@
 constexpr double first_token_margin = 0.7;
 constexpr double gap_margin = 0.9;
 /// Costs within this factor of the least are near equals.
-constexpr double near_equal = 1.1;
+constexpr double near_equal = 2;
+/// The same among upstreams at ease: these are far from their targets, so that
+/// the price alone may decide.
+constexpr double near_equal_at_ease = 1.1;
+/// An upstream at ease uses up no more than these shares of its slots and of
+/// the first token's target.
+constexpr double slots_at_ease = 0.25;
+constexpr double first_token_at_ease = 0.1;
 /// Most of a service's upstreams that may be ejected at once.
 constexpr double most_ejected = 0.34;
 /// One request in so many may probe an upstream on probation.
@@ -36,6 +44,7 @@
     health_state health = health_state::healthy;
     bool avoided = false;
     bool meets_target = false;
+    bool at_ease = false;
 };
 
 using candidates = boost::container::static_vector<candidate, most_candidates>;
@@ -76,13 +85,20 @@
     return value;
 }
 
+const upstream_estimate*
+find_estimate(const routing_state& state, const upstream_id& id)
+{
+    const auto found = state.upstreams.find(id);
+    return found == state.upstreams.end() ? nullptr : &found->second;
+}
+
+/// What is known of this start of the upstream.
 const upstream_estimate&
-estimate_of(const routing_state& state, const upstream& value)
+current(const upstream_estimate* estimate, const upstream& value)
 {
-    const auto found = state.upstreams.find(value.id);
-    const bool current = found != state.upstreams.end() &&
-                         found->second.incarnation == value.incarnation;
-    return current ? found->second : unknown_estimate();
+    return estimate && estimate->incarnation == value.incarnation
+               ? *estimate
+               : unknown_estimate();
 }
 
 double
@@ -118,15 +134,62 @@
     return found == dir.by_service.end() ? nullptr : &found->second;
 }
 
+/// Calls `visit` with each upstream of the service that may take work.
+template<class Visit>
+void for_each_open(
+    const directory& dir,
+    const routing_state& state,
+    const service_name& name,
+    time_point now,
+    Visit visit)
+{
+    const roster& rows = state.members;
+    if (rows.owner == &dir && rows.generation == dir.generation)
+    {
+        const auto found = rows.services.find(name);
+        if (found == rows.services.end())
+            return;
+        for (const roster_row& row : found->second)
+            if (may_take_work(*row.entry, now))
+                visit(*row.entry, current(row.estimate, row.entry->value));
+        return;
+    }
+    const auto* ids = members(dir, state, name);
+    if (!ids)
+        return;
+    for (const upstream_id& id : *ids)
+        if (const directory_entry* entry = find(dir, id);
+            entry && may_take_work(*entry, now))
+            visit(*entry, current(find_estimate(state, id), entry->value));
+}
+
+/// The same for the upstreams that the request names, which need not be in
+/// this entry's subset.
+template<class Visit>
+void for_each_named(
+    const directory& dir,
+    const routing_state& state,
+    const choice_request& request,
+    time_point now,
+    Visit visit)
+{
+    for (const upstream_id& id : request.only)
+    {
+        const directory_entry* entry = find(dir, id);
+        if (entry && entry->value.service == request.service &&
+            may_take_work(*entry, now))
+            visit(*entry, current(find_estimate(state, id), entry->value));
+    }
+}
+
 /// Fills `found` in place: a choice looks at many.
 void examine(
     candidate& found,
     const directory_entry& entry,
-    const routing_state& state,
+    const upstream_estimate& estimate,
     const choice_request& request,
     time_point now)
 {
-    const upstream_estimate& estimate = estimate_of(state, entry.value);
     found.entry = &entry;
     found.expected = predict(entry.value, estimate, request, now);
     found.health = state_at(estimate.health, now);
@@ -135,6 +198,10 @@
     found.avoided = holds(request.avoided, entry.value.domain);
     found.meets_target = now >= estimate.full_until &&
                          meets(entry.value, found.expected, request);
+    found.at_ease =
+        found.expected.used_share <= slots_at_ease &&
+        found.expected.first_token_seconds <=
+            first_token_at_ease * to_seconds(request.target.first_token);
 }
 
 candidates gather(
@@ -144,19 +211,16 @@
     time_point now)
 {
     candidates all;
-    const auto* ids = members(dir, state, request.service);
-    if (!ids)
-        return all;
-    for (const upstream_id& id : *ids)
+    const auto consider =
+        [&](const directory_entry& entry, const upstream_estimate& estimate)
     {
-        const directory_entry* entry = find(dir, id);
-        if (!entry || !may_take_work(*entry, now) ||
-            !permitted(entry->value, request))
-            continue;
-        examine(all.emplace_back(), *entry, state, request, now);
-        if (all.size() == most_candidates)
-            break;
-    }
+        if (all.size() < most_candidates && permitted(entry.value, request))
+            examine(all.emplace_back(), entry, estimate, request, now);
+    };
+    if (request.only.empty())
+        for_each_open(dir, state, request.service, now, consider);
+    else
+        for_each_named(dir, state, request, now, consider);
     return all;
 }
 
@@ -199,24 +263,54 @@
            right.expected.first_token_seconds;
 }
 
-/// Of two drawn among the near equals of the cheapest, the sooner one.
-const candidate*
-cheapest(const candidates& all, const choice_request& request, bool avoided)
+using selection =
+    boost::container::static_vector<const candidate*, most_candidates>;
+
+/// Keeps those that cost at most `factor` times the least.
+void keep_cheapest(selection& some, double factor)
+{
+    double least = some.front()->expected.cost;
+    for (const candidate* one : some)
+        least = std::min(least, one->expected.cost);
+    some.erase(
+        std::remove_if(
+            some.begin(),
+            some.end(),
+            [least, factor](const candidate* one)
+            { return one->expected.cost > least * factor; }),
+        some.end());
+}
+
+/// Keeps those at ease, if there are any.
+void prefer_at_ease(selection& some)
+{
+    const auto at_ease = [](const candidate* one)
+    {
+        return one->at_ease;
+    };
+    if (std::none_of(some.begin(), some.end(), at_ease))
+        return;
+    some.erase(
+        std::remove_if(some.begin(), some.end(), std::not_fn(at_ease)),
+        some.end());
+    keep_cheapest(some, near_equal_at_ease);
+}
+
+/// The best upstream that meets the target, or null: of two drawn among the
+/// near equals, the sooner one.
+const candidate* best_within_target(
+    const candidates& all, const choice_request& request, bool avoided)
 {
-    double least = -1;
+    selection some;
     for (const candidate& one : all)
-        if (one.meets_target && one.avoided == avoided &&
-            (least < 0 || one.expected.cost < least))
-            least = one.expected.cost;
-    if (least < 0)
+        if (one.meets_target && one.avoided == avoided)
+            some.push_back(&one);
+    if (some.empty())
         return nullptr;
-    boost::container::static_vector<const candidate*, most_candidates> near;
-    for (const candidate& one : all)
-        if (one.meets_target && one.avoided == avoided &&
-            one.expected.cost <= least * near_equal)
-            near.push_back(&one);
-    const candidate* first = near[request.draw % near.size()];
-    const candidate* second = near[(request.draw >> 32) % near.size()];
+    keep_cheapest(some, near_equal);
+    prefer_at_ease(some);
+    const candidate* first = some[request.draw % some.size()];
+    const candidate* second = some[(request.draw >> 32) % some.size()];
     return sooner(*second, *first) ? second : first;
 }
 
@@ -302,22 +396,18 @@
     time_point now)
 {
     slot_count slots;
-    const auto* ids = members(dir, state, name);
-    if (!ids)
-        return slots;
-    for (const upstream_id& id : *ids)
+    const auto count =
+        [&slots,
+         now](const directory_entry& entry, const upstream_estimate& estimate)
     {
-        const directory_entry* entry = find(dir, id);
-        if (!entry || !may_take_work(*entry, now))
-            continue;
-        const upstream_estimate& estimate = estimate_of(state, entry->value);
         if (state_at(estimate.health, now) == health_state::ejected)
-            continue;
-        const double all = entry->value.slots;
+            return;
+        const double all = entry.value.slots;
         slots.total += all;
         if (now >= estimate.full_until)
             slots.free += std::max(0.0, all - requests_at(estimate, now));
-    }
+    };
+    for_each_open(dir, state, name, now, count);
     return slots;
 }
 
@@ -336,10 +426,9 @@
         if (const candidate* chosen = probe(all, request))
             return to_choice(*chosen);
     }
-    if (const candidate* chosen = cheapest(all, request, false))
-        return to_choice(*chosen);
-    if (const candidate* chosen = cheapest(all, request, true))
-        return to_choice(*chosen);
+    for (const bool avoided : {false, true})
+        if (const auto* chosen = best_within_target(all, request, avoided))
+            return to_choice(*chosen);
     return fall_back(all, request);
 }
 
--- a/src/serving/request_state.hpp
+++ b/src/serving/request_state.hpp
@@ -37,6 +37,8 @@
     choice where;
     /// Set once it was handed to the upstream's connection to send.
     bool dispatched = false;
+    /// The upstream's connection took the whole request.
+    bool sent = false;
     /// The upstream went away while the journal was asked.
     bool target_lost = false;
     time_point started;
@@ -106,8 +108,12 @@
     std::uint32_t charged_attempts = 0;
     /// The next attempt is charged to the retry budget.
     bool next_is_retry = false;
+    /// It was counted as waiting for the budget.
+    bool waits_for_budget = false;
     /// Why the last attempt failed.
     std::optional<attempt_failure> last_failure;
+    /// The upstream that it failed on.
+    upstream_id failed_on;
     std::vector<upstream_id> excluded;
     std::vector<failure_domain> avoided;
     /// The version of the first attempt; others come only if it has none.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -135,7 +135,7 @@
 
     std::string id(const char* name)
     {
-        const std::string text = value(name);
+        std::string text = value(name);
         if (!valid_id(text))
             fail(name, "needs 1 to 64 letters, digits, '-', '_' or '.'");
         return text;
@@ -175,6 +175,11 @@
     }
     if (!into.entry_role && !into.control_role)
         from.fail("roles", "needs at least one role");
+    if (!into.control_role)
+        from.fail(
+            "roles",
+            "needs control: an entry has its configuration from the replica "
+            "in its own process");
     if (into.control_role && from.value("data-dir").empty())
         from.fail("data-dir", "is needed by the role control");
 }
--- a/tests/routing/choose_test.cpp
+++ b/tests/routing/choose_test.cpp
@@ -29,7 +29,11 @@
         request.expected_tokens = 100;
     }
 
-    void add(const std::string& id, const std::string& domain, double price)
+    void
+    add(const std::string& id,
+        const std::string& domain,
+        double price,
+        time_point now = start)
     {
         upstream value;
         value.id = {id};
@@ -40,7 +44,7 @@
         value.instance_class = "small";
         value.price_per_hour = price;
         value.slots = 4;
-        announce(dir, value, start);
+        announce(dir, value, now);
         on_announced(state, value);
     }
 
@@ -85,7 +89,7 @@
 {
     world w;
     w.add("cheap", "suva", 1);
-    w.add("dear", "nadi", 2);
+    w.add("dear", "nadi", 5);
 
     SECTION("the cheaper one while it meets the target")
     {
@@ -158,6 +162,24 @@
     }
 }
 
+TEST_CASE("price alone decides while an upstream is at ease")
+{
+    world w;
+    w.add("cheap", "suva", 1);
+    w.add("near", "nadi", 1.5);
+    for (int i = 0; i < 16; ++i)
+    {
+        w.request.draw += 0x9e3779b97f4a7c14ULL;
+        CHECK(w.chosen() == "cheap");
+    }
+    SECTION("and load among near equals, when it is not")
+    {
+        for (int i = 0; i < 2; ++i)
+            CHECK(w.send() == "cheap");
+        CHECK(w.send() == "near");
+    }
+}
+
 TEST_CASE("an upstream that holds the prompt's prefix is preferred")
 {
     world w;
@@ -245,6 +267,16 @@
             fresh += same.count(id) == 0 ? 1 : 0;
         CHECK(fresh <= 1);
     }
+    SECTION("a request may name one outside of it")
+    {
+        refresh_subsets(w.state, w.dir, {"n1"});
+        const std::set<upstream_id> own(mine.begin(), mine.end());
+        int other = 0;
+        while (own.count({"w" + std::to_string(other)}) != 0)
+            ++other;
+        w.request.only = {{"w" + std::to_string(other)}};
+        CHECK(w.chosen() == w.request.only.front().value);
+    }
     SECTION("and another entry has another part")
     {
         CHECK(subset_of(w.dir, {"llm"}, {"n2"}) != mine);
@@ -290,3 +322,107 @@
             }
         }));
 }
+
+TEST_CASE("the roster makes choices quicker, never other ones")
+{
+    CHECK(rc::check(
+        []
+        {
+            world plain;
+            world quick;
+            const std::vector<std::string> names = {"a", "b", "c", "d"};
+            time_point now = start;
+            for (int step = 0; step < 40; ++step)
+            {
+                now += *rc::gen::inRange(0, 600) * 1ms;
+                const std::string name = *rc::gen::elementOf(names);
+                const int what = *rc::gen::inRange(0, 9);
+                const bool refresh = *rc::gen::inRange(0, 2) == 0;
+                for (world* w : {&plain, &quick})
+                {
+                    const bool known = find(w->dir, {name}) != nullptr;
+                    if (what == 0)
+                        lost(w->dir, {name});
+                    else if (what == 3)
+                        on_lost(w->state, {name});
+                    else if (what == 1)
+                        expire(w->dir, now + 1h);
+                    else if (what == 2)
+                        leave(w->dir, {name});
+                    else if (!known)
+                        w->add(name, "suva", what, now);
+                    else
+                        announce(
+                            w->dir, upstream(find(w->dir, {name})->value), now);
+                }
+                if (refresh)
+                    refresh_subsets(quick.state, quick.dir, {"n1"});
+                RC_ASSERT(plain.send(now) == quick.send(now));
+            }
+        }));
+}
+
+TEST_CASE("one slow upstream among three is ejected, the others are not")
+{
+    world w;
+    const std::vector<std::string> names = {"a", "b", "c"};
+    for (const std::string& name : names)
+        w.add(name, "suva", 1);
+    const bool streams = GENERATE(true, false);
+    attempt_observed seen;
+    seen.answered_tokens = 50;
+    for (int i = 0; i < 40; ++i)
+        for (const std::string& name : names)
+        {
+            const duration time = name == "a" ? 62ms : 25ms;
+            seen.target = {name};
+            seen.first_token = time;
+            if (streams)
+                seen.mean_gap = time;
+            on_observed(w.state, seen, start);
+        }
+    const auto state_of = [&w](const char* name)
+    {
+        return w.state.upstreams.at({name}).health.state;
+    };
+    CHECK(state_of("a") == health_state::ejected);
+    CHECK(state_of("b") == health_state::healthy);
+    CHECK(state_of("c") == health_state::healthy);
+    CHECK(w.chosen() != "a");
+
+    SECTION("when all become slow, nobody new is")
+    {
+        seen.target = {"b"};
+        for (int i = 0; i < 200; ++i)
+            for (const std::string& name : names)
+            {
+                seen.target = {name};
+                seen.first_token = 40ms;
+                if (streams)
+                    seen.mean_gap = 40ms;
+                on_observed(w.state, seen, start);
+            }
+        CHECK(state_of("b") == health_state::healthy);
+        CHECK(state_of("c") == health_state::healthy);
+    }
+}
+
+TEST_CASE("load reports alone show which upstream is slow")
+{
+    world w;
+    for (const char* name : {"a", "b", "c"})
+        w.add(name, "suva", 1);
+    for (std::uint64_t i = 1; i < 60; ++i)
+        for (const char* name : {"a", "b", "c"})
+        {
+            const double rate = name[0] == 'a' ? 40 : 100;
+            on_load(w.state, {{name}, i, 3, 0, 0.5, rate}, start);
+        }
+    const auto state_of = [&w](const char* name)
+    {
+        return w.state.upstreams.at({name}).health.state;
+    };
+    CHECK(state_of("a") == health_state::ejected);
+    CHECK(state_of("b") == health_state::healthy);
+    CHECK(state_of("c") == health_state::healthy);
+}
--- a/tests/serving/crash_test.cpp
+++ b/tests/serving/crash_test.cpp
@@ -145,6 +145,20 @@
             kill(w, target);
         }
     }
+    SECTION("a notice that comes just after the connections broke")
+    {
+        for (int i = 0; i < 2; ++i)
+        {
+            run_for(w, 300ms);
+            const upstream_id target = at();
+            for (auto& [id, attempt] : w.attempts)
+                if (attempt.sent.target == target)
+                    cut(w, attempt);
+            run_for(w, 20ms);
+            give_notice(w, target, 400ms);
+            run_for(w, 1s);
+        }
+    }
     SECTION("the loss of a domain that the directory knows of")
     {
         for (int i = 0; i < 2; ++i)
@@ -183,7 +197,8 @@
 TEST_CASE("A suspect that ends well is clear")
 {
     world w;
-    const caller_request request = stream_request("unlucky", 30);
+    const std::uint64_t length = GENERATE(30, 120);
+    const caller_request request = stream_request("unlucky", length);
     for (int i = 0; i < 3; ++i)
     {
         const fake_caller& caller =
--- a/tests/serving/drain_test.cpp
+++ b/tests/serving/drain_test.cpp
@@ -106,6 +106,22 @@
     }
 }
 
+TEST_CASE("A successor that has no room keeps what it took")
+{
+    world w(2);
+    for (auto& [id, one] : w.upstreams)
+        one.slots = 1;
+    w.entries[1].options.limits.waiting_requests = 0;
+    for (int i = 0; i < 6; ++i)
+        send(w, stream_request("tight" + std::to_string(i), 200));
+    run_for(w, 100ms);
+    drain(w, duration(2s));
+    run_until_answered(w, 25s);
+    for (int i = 0; i < 6; ++i)
+        check_whole(w.callers["r-tight" + std::to_string(i)], 200);
+    CHECK(w.entries[0].counters.handed_over == 6);
+}
+
 TEST_CASE("A hand-over whose answer is lost leaves the request here")
 {
     world w(2);
@@ -171,7 +187,7 @@
 
 TEST_CASE("What cannot end before the instance goes is told the truth")
 {
-    world w;
+    world w(2);
     w.hook = [](life_step step, std::uint64_t, fake_attempt& attempt)
     {
         if (step == life_step::first_byte_sent)
@@ -185,4 +201,10 @@
     REQUIRE(caller.error);
     CHECK(caller.error->run == run_claim::unknown);
     CHECK(w.drained_entries[0]);
+    CHECK(w.entries[0].counters.handed_over == 0);
+    CHECK(std::none_of(
+        w.log.begin(),
+        w.log.end(),
+        [](const auto& action)
+        { return std::holds_alternative<hand_over>(action); }));
 }
--- a/tests/serving/order_test.cpp
+++ b/tests/serving/order_test.cpp
@@ -146,6 +146,32 @@
     CHECK(w.runs["order k1"] == 1);
 }
 
+TEST_CASE("A refused connection after the order went out proves nothing")
+{
+    world w;
+    at(w,
+       life_step::first_byte_sent,
+       [&w](fake_attempt& attempt)
+       {
+           attempt.mute = true;
+           later(
+               w,
+               5ms,
+               0,
+               attempt_failed{
+                   attempt.sent.attempt,
+                   attempt_failure::connection_refused,
+                   0,
+                   {}});
+       });
+    send(w, order_request("one", "k1"));
+    run_until_answered(w, 5s);
+    check_error(
+        w.callers["r-one"], error_kind::outcome_unknown, run_claim::unknown);
+    CHECK(w.runs["order k1"] == 1);
+    CHECK(w.released.empty());
+}
+
 TEST_CASE("A refused order goes to another upstream under a new record")
 {
     world w;
@@ -215,6 +241,26 @@
     CHECK(w.runs["order k1"] == 1);
 }
 
+TEST_CASE("An upstream that begins to leave while the journal is asked")
+{
+    world w;
+    upstream_id left;
+    at(w,
+       life_step::after_record,
+       [&](fake_attempt& record)
+       {
+           left = record.sent.target;
+           give_notice(w, left, 10s);
+       });
+    send(w, order_request("one", "k1"));
+    run_until_answered(w, 5s);
+    check_done(w.callers["r-one"]);
+    for (const auto& action : w.log)
+        if (const auto* sent = std::get_if<dispatch>(&action))
+            CHECK(sent->target != left);
+    CHECK(w.released.size() == 1);
+}
+
 TEST_CASE("A service that removes duplicates by key is asked again")
 {
     world w;
