Leave the voters on drain; a broken reused connection is not a refused one; 303 for a moved request

Found in reading by the part that owns the life cycle: a second connect that failed after a reused connection broke was told as 'connection refused', which would prove that nothing was sent; a 307 would repeat the POST at the successor; a newer incarnation of an upstream did not tell of its death.

--- a/src/daemon/callers_duty.cpp
+++ b/src/daemon/callers_duty.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view requests_path = "/v1/requests/";
 constexpr std::size_t max_key_length = 255;
 constexpr int success = 200;
+constexpr int see_other = 303;
 
 // A caller's connection that waits for its answer.
 struct connection
@@ -375,7 +376,7 @@
         return to.exchange->end();
     }
     to.exchange->answer(
-        307,
+        see_other,
         {{"Location",
           "http://" + duty.options.entry_address_of(moved.successor) +
               std::string(requests_path) + moved.request.value},
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -439,6 +439,7 @@
 
 void daemon_process::parts::drain(std::optional<time_point> deadline)
 {
+    leave(*control);
     boost::asio::post(
         serving_thread.loop(), [this, deadline] { serving->drain(deadline); });
 }
@@ -464,6 +465,11 @@
     return parts_->is_drained;
 }
 
+bool daemon_process::left() const
+{
+    return has_left(*parts_->control);
+}
+
 bool daemon_process::unhealthy() const
 {
     return parts_->storage_failed || parts_->tree.check(now()) != health::good;
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -30,6 +30,9 @@
     /// True once nothing accepted is left after `drain`.
     bool drained() const;
 
+    /// True once this process is no voter that the others would miss.
+    bool left() const;
+
     /// True once a duty has failed or stalled: the process should drain and
     /// exit.
     bool unhealthy() const;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -15,6 +15,7 @@
 
 constexpr int exit_settings = 2;
 constexpr int exit_unhealthy = 3;
+constexpr duration leave_time = 3s;
 constexpr long poll_nanoseconds = 100'000'000;
 
 std::optional<std::string> variable(const char* name)
@@ -52,6 +53,14 @@
         ;
 }
 
+// Gives the other replicas a moment to replace this one.
+void wait_to_leave(const daemon_process& process, const sigset_t& set)
+{
+    const time_point end = now() + leave_time;
+    while (!process.left() && now() < end && !signalled(set))
+        ;
+}
+
 int run(const settings& values)
 {
     const sigset_t set = block_signals();
@@ -69,6 +78,7 @@
     }
     if (!process.drained())
         drain(process, values, set);
+    wait_to_leave(process, set);
     process.stop();
     return code;
 }
--- a/src/daemon/upstream_view.cpp
+++ b/src/daemon/upstream_view.cpp
@@ -35,6 +35,10 @@
     }
     if (value.state == upstream_state::lost)
         return;
+    const auto known = view.routing.upstreams.find(id);
+    if (known != view.routing.upstreams.end() &&
+        known->second.incarnation < value.incarnation)
+        changes.inputs.push_back(upstream_gone{id, false});
     routing::on_announced(view.routing, value);
     changes.events.push_back(event_of(
         event_kind::upstream_announced,
--- a/src/daemon/upstreams_duty.cpp
+++ b/src/daemon/upstreams_duty.cpp
@@ -155,9 +155,13 @@
             {
                 if (self->over_)
                     return;
+                // On a second try after a reused connection broke, the first
+                // one may have carried the request.
                 if (error)
                     return self->fail(
-                        attempt_failure::connection_refused, error.message());
+                        self->told_sent_ ? attempt_failure::broken
+                                         : attempt_failure::connection_refused,
+                        error.message());
                 ++self->duty_->counters.connected;
                 boost_error ignored;
                 self->stream_->socket().set_option(
