--- a/src/rollout/version_moves.cpp
+++ b/src/rollout/version_moves.cpp
@@ -1,5 +1,6 @@
 #include "rollout/version_moves.hpp"
 
+#include "rollout/move_evidence.hpp"
 #include "rollout/upstream_plan.hpp"
 
 #include <algorithm>
@@ -16,18 +17,6 @@
 /// Evidence that is enough once a stage has taken its longest time.
 constexpr std::uint64_t late_stage_part = 4;
 
-/// One step under way.
-struct step_context
-{
-    version_move& move;
-    move_memory& memory;
-    const evidence_view& view;
-    const move_policy& policy;
-    time_point now;
-    wall_time wall;
-    bool changed = false;
-};
-
 std::int64_t milliseconds(duration span)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
@@ -49,74 +38,6 @@
            at.move.deadline.milliseconds - milliseconds(at.policy.end_margin);
 }
 
-/// Notes whether a failure domain lost two and more than half of its
-/// upstreams since the last step.
-void watch_domains(step_context& at)
-{
-    std::map<failure_domain, std::size_t> serving;
-    for (const upstream_view& each : at.view.upstreams)
-        if (each.serving)
-            ++serving[each.domain];
-    for (const auto& [domain, before] : at.memory.serving)
-    {
-        const auto found = serving.find(domain);
-        const std::size_t after = found == serving.end() ? 0 : found->second;
-        if (before >= after + 2 && 2 * after < before)
-            at.memory.disturbed_until = at.now + at.policy.disturbed_time;
-    }
-    at.memory.serving = std::move(serving);
-}
-
-/// Notes whether capacity is short, so that upstreams may be overloaded.
-void watch_capacity(step_context& at)
-{
-    move_memory& memory = at.memory;
-    std::size_t serving = 0;
-    for (const auto& [domain, count] : memory.serving)
-        serving += count;
-    memory.most_serving = std::max(memory.most_serving, serving);
-    const bool is_short = 5 * serving <= 4 * memory.most_serving;
-    if (!is_short)
-        memory.short_since.reset();
-    else if (!memory.short_since)
-        memory.short_since = at.now;
-    else if (at.now - *memory.short_since >= at.policy.longest_shortage)
-        memory.most_serving = serving;
-}
-
-/// What `sample` says at a time when some of it can be blamed on losses.
-evidence_sample admissible(const step_context& at, evidence_sample sample)
-{
-    if (at.now < at.memory.disturbed_until)
-        sample.crashed = 0;
-    if (at.memory.short_since)
-    {
-        sample.first_token = {};
-        sample.token_gap = {};
-    }
-    return sample;
-}
-
-void absorb(step_context& at)
-{
-    for (const evidence_sample& sample : at.view.samples)
-    {
-        if (sample.key.version == at.move.to)
-            continue;
-        absorb_old(at.memory.known, sample, at.now);
-        at.memory.old_routes[sample.key.route] += sample.succeeded;
-    }
-    for (const evidence_sample& sample : at.view.samples)
-    {
-        if (sample.key.version != at.move.to)
-            continue;
-        absorb_new(at.memory.known, at.move.tests, admissible(at, sample));
-        at.memory.new_routes[sample.key.route] += sample.succeeded;
-        at.move.stage_observed += sample.succeeded;
-        at.memory.unsaved_evidence = true;
-    }
-}
-
 /// The share that brings `count` upstreams to full load.
 double loaded_share(const step_context& at, std::size_t count)
 {
