--- a/src/daemon/journal_port.cpp
+++ b/src/daemon/journal_port.cpp
@@ -105,6 +105,17 @@
         now);
 }
 
+proposal
+propose_earlier_lost(journal_port& port, wall_time wall, time_point now)
+{
+    const state::lose_owner command{port.node, port.incarnation - 1};
+    return make_proposal(
+        port,
+        {{}, {}, state::encode(command, wall), event_kind::journal_released},
+        finish_limit,
+        now);
+}
+
 journal_news
 take(journal_port& port, const proposal_answer& answer, time_point now)
 {
--- a/src/daemon/journal_port.hpp
+++ b/src/daemon/journal_port.hpp
@@ -60,6 +60,11 @@
     wall_time wall,
     time_point now);
 
+/// The proposal that marks as unknown what earlier starts of this process had
+/// in flight. Proposed again until it is committed.
+proposal
+propose_earlier_lost(journal_port& port, wall_time wall, time_point now);
+
 /// Takes the answer to a proposal; answers to others' tickets are ignored.
 journal_news
 take(journal_port& port, const proposal_answer& answer, time_point now);
--- a/src/daemon/serving_duty.cpp
+++ b/src/daemon/serving_duty.cpp
@@ -11,6 +11,7 @@
 #include "wire/directory_codec.hpp"
 #include "wire/serving_codec.hpp"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
@@ -498,6 +499,13 @@
           loop, values, incarnation, std::move(links)))
 {
     schedule_tick(*state_);
+    boost::asio::post(
+        loop,
+        [duty = state_.get()]
+        {
+            send_proposal(
+                *duty, propose_earlier_lost(duty->journal, wall_now(), now()));
+        });
 }
 
 serving_duty::~serving_duty() = default;
