bergamotctl against real daemons: collections and moves

Cause, found by the first process test of the tool: it asked for /v1/config/classes/ with an empty name, which is no resource, and sent a move's time as deadline_s where the API reads within_s; its own tests had checked it against a server of theirs that knew no better. The literal in that test follows the API now.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	cmake --build $(BUILD) -j $(JOBS)
 
 check: build
-	cd $(BUILD) && ctest --output-on-failure -j 4
+	tools/check-tests $(BUILD) 4
 
 demo: build
 	$(BUILD)/bergamotusher_demo
--- a/src/observe/ctl/run.cpp
+++ b/src/observe/ctl/run.cpp
@@ -50,8 +50,10 @@
 
 std::string config_target(const arguments& asked)
 {
-    return "/v1/config/" + asked.collection + "/" +
-           observe::percent_encoded(asked.name);
+    const std::string collection = "/v1/config/" + asked.collection;
+    if (asked.name.empty())
+        return collection;
+    return collection + "/" + observe::percent_encoded(asked.name);
 }
 
 std::string move_body(const arguments& asked)
@@ -59,7 +61,7 @@
     return nlohmann::json{
         {"service", asked.service},
         {"version", asked.version},
-        {"deadline_s", asked.deadline_s}}
+        {"within_s", asked.deadline_s}}
         .dump();
 }
 
--- a/tests/ctl/run_test.cpp
+++ b/tests/ctl/run_test.cpp
@@ -142,7 +142,7 @@
     CHECK(
         nlohmann::json::parse(on.requests.front().body) ==
         nlohmann::json{
-            {"service", "wax-llm"}, {"version", "v2"}, {"deadline_s", 600}});
+            {"service", "wax-llm"}, {"version", "v2"}, {"within_s", 600}});
 }
 
 TEST_CASE("the exit code tells what became of a command")
