Run under faults: orders are sent by two callers at once and take a while

Cause: orders took no time at the desk, and were resent only when unanswered, so no resend met one in flight. Now eight callers, two to a key, send each order more than once, and the desk takes 100 ms.

--- a/tests/process/chaos_test.cpp
+++ b/tests/process/chaos_test.cpp
@@ -24,7 +24,7 @@
 
 constexpr unsigned nodes = 4;
 constexpr unsigned operators = 3;
-constexpr unsigned order_callers = 4;
+constexpr unsigned order_callers = 8;
 constexpr unsigned faults = 8;
 constexpr unsigned sendings = 4;
 
@@ -169,20 +169,23 @@
         else if (problem.is_object() && problem.value("run", "") == "not_run")
             one.outcome = operation_outcome::refused;
         run.notes.add(one);
-        if (answer.status == 201)
+        if (answer.status == 201 && sending > 0)
             return;
+        pause(random() % 300);
     }
 }
 
+// Two callers send each order at the same time, and both again though it was
+// answered: it takes a while at the desk, so that faults and resends find it
+// in flight.
 void order(run_state& run, unsigned number)
 {
     std::mt19937 random(run.seed * 1000 + number);
     for (unsigned count = 0; !run.ending; ++count)
     {
-        send_order(
-            run,
-            "key-" + std::to_string(number) + "-" + std::to_string(count),
-            random);
+        const std::string key =
+            "key-" + std::to_string(number / 2) + "-" + std::to_string(count);
+        send_order(run, key, random);
         pause(random() % 40);
     }
 }
@@ -233,8 +236,8 @@
 history make_run(unsigned seed)
 {
     run_state run(seed);
-    run.system.start_desk("desk-1", {"--domain=suva"});
-    run.system.start_desk("desk-2", {"--domain=nadi"});
+    run.system.start_desk("desk-1", {"--domain=suva", "--delay-ms=100"});
+    run.system.start_desk("desk-2", {"--domain=nadi", "--delay-ms=100"});
     std::vector<std::thread> threads;
     for (unsigned i = 0; i < operators; ++i)
         threads.emplace_back([&run, i] { operate(run, i); });
