--- a/src/consensus/internal.hpp
+++ b/src/consensus/internal.hpp
@@ -19,6 +19,17 @@
 void persist_now(replica& replica, actions& out, time_point now);
 void announce_role(const replica& replica, actions& out);
 
+/// Notes an answer of `from`, sent in `term` to a message of `sent_at_us`
+/// (leader.cpp). Null if it is not for this replica as the term's leader; a
+/// higher term makes it a follower.
+progress* note_answer(
+    replica& replica,
+    actions& out,
+    const node_id& from,
+    term_number term,
+    std::int64_t sent_at_us,
+    time_point now);
+
 // Elections (election.cpp).
 
 void become_follower(
--- a/src/consensus/leader.cpp
+++ b/src/consensus/leader.cpp
@@ -234,25 +234,43 @@
         become_follower(replica, out, replica.hard.term, {}, now);
 }
 
-void handle(
+progress* note_answer(
     replica& replica,
     actions& out,
     const node_id& from,
-    const append_reply& reply,
+    term_number term,
+    std::int64_t sent_at_us,
     time_point now)
 {
-    if (reply.term > replica.hard.term)
-        return become_follower(replica, out, reply.term, {}, now);
+    if (term > replica.hard.term)
+    {
+        become_follower(replica, out, term, {}, now);
+        return nullptr;
+    }
     const auto found = replica.followers.find(from);
-    if (replica.role != role::leader || reply.term != replica.hard.term ||
+    if (replica.role != role::leader || term != replica.hard.term ||
         found == replica.followers.end())
-        return;
+        return nullptr;
     progress& peer = found->second;
     peer.heard_at = now;
+    peer.acked_at = std::max(peer.acked_at, time_point(duration(sent_at_us)));
+    return &peer;
+}
+
+void handle(
+    replica& replica,
+    actions& out,
+    const node_id& from,
+    const append_reply& reply,
+    time_point now)
+{
+    progress* answering =
+        note_answer(replica, out, from, reply.term, reply.sent_at_us, now);
+    if (answering == nullptr)
+        return;
+    progress& peer = *answering;
     peer.answered = true;
     peer.leaving = reply.leaving;
-    peer.acked_at =
-        std::max(peer.acked_at, time_point(duration(reply.sent_at_us)));
     note_admission(peer, reply);
     note_match(peer, reply);
     finish_reads(replica, out);
--- a/src/consensus/snapshots.cpp
+++ b/src/consensus/snapshots.cpp
@@ -214,16 +214,11 @@
     const snapshot_reply& reply,
     time_point now)
 {
-    if (reply.term > replica.hard.term)
-        return become_follower(replica, out, reply.term, {}, now);
-    const auto found = replica.followers.find(from);
-    if (replica.role != role::leader || reply.term != replica.hard.term ||
-        found == replica.followers.end())
+    progress* answering =
+        note_answer(replica, out, from, reply.term, reply.sent_at_us, now);
+    if (answering == nullptr)
         return;
-    progress& peer = found->second;
-    peer.heard_at = now;
-    peer.acked_at =
-        std::max(peer.acked_at, time_point(duration(reply.sent_at_us)));
+    progress& peer = *answering;
     if (!peer.sending || peer.sending->index != reply.index)
         return;
     if (reply.installed)
--- a/src/daemon/http_server.cpp
+++ b/src/daemon/http_server.cpp
@@ -82,7 +82,8 @@
         , handler_(server->handler)
         , accepting_(server->accepting)
         , owner_(server)
-        , receive_timer_(stream_.get_executor())
+        , loop_(server->loop)
+        , receive_timer_(server->loop)
     {
         ++counters_.open;
         boost_error ignored;
@@ -330,9 +331,7 @@
         finished_ = answering_ = chunked_ = false;
         boost_error ignored;
         stream_.socket().cancel(ignored);
-        asio::post(
-            stream_.get_executor(),
-            [self = shared_from_this()] { self->read(); });
+        asio::post(loop_, [self = shared_from_this()] { self->read(); });
     }
 
     void close()
@@ -356,6 +355,7 @@
     const http_handler& handler_;
     const bool& accepting_;
     std::shared_ptr<void> owner_;
+    asio::io_context& loop_;
     asio::steady_timer receive_timer_;
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
--- a/tests/fakes/common/announcer.cpp
+++ b/tests/fakes/common/announcer.cpp
@@ -4,8 +4,10 @@
 
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <sstream>
 #include <thread>
+#include <unistd.h>
 
 namespace bergamotusher::fakes
 {
@@ -14,6 +16,7 @@
 {
 
 constexpr auto interval = std::chrono::milliseconds(500);
+constexpr auto busy_poll = std::chrono::milliseconds(20);
 
 std::atomic<bool> stopping{false};
 announcer_options current;
@@ -55,6 +58,26 @@
     send_to_one("DELETE", "/v1/upstreams/" + current.instance, "");
 }
 
+void leave_on_signal(std::function<bool()> busy)
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    std::thread(
+        [set, busy = std::move(busy)]
+        {
+            int number = 0;
+            sigwait(&set, &number);
+            stop_announcing();
+            while (busy())
+                std::this_thread::sleep_for(busy_poll);
+            _exit(0);
+        })
+        .detach();
+}
+
 std::vector<std::string> split_list(const std::string& text)
 {
     std::vector<std::string> parts;
--- a/tests/fakes/common/announcer.hpp
+++ b/tests/fakes/common/announcer.hpp
@@ -30,6 +30,10 @@
 /// Says that the instance leaves. Announcing stops.
 void stop_announcing();
 
+/// On SIGTERM or SIGINT: says that the instance leaves, serves on while
+/// `busy`, then ends the process. To be called before any other thread starts.
+void leave_on_signal(std::function<bool()> busy);
+
 /// Splits at commas.
 std::vector<std::string> split_list(const std::string& text);
 
--- a/tests/fakes/fake_desk.cpp
+++ b/tests/fakes/fake_desk.cpp
@@ -115,26 +115,6 @@
           {"tokens_per_second", 0}}}};
 }
 
-void leave_on_signal()
-{
-    sigset_t set;
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &set, nullptr);
-    std::thread(
-        [set]
-        {
-            int number = 0;
-            sigwait(&set, &number);
-            stop_announcing();
-            while (open_requests > 0)
-                std::this_thread::sleep_for(std::chrono::milliseconds(20));
-            _exit(0);
-        })
-        .detach();
-}
-
 } // namespace
 
 int main(int argc, char** argv)
@@ -174,7 +154,7 @@
             parsed["crash-after"].as<int>(),
             parsed.count("refuse") > 0};
         std::signal(SIGPIPE, SIG_IGN);
-        leave_on_signal();
+        leave_on_signal([] { return open_requests > 0; });
         start_announcing(
             {split_list(parsed["admins"].as<std::string>()),
              read_token(parsed["token-file"].as<std::string>()),
--- a/tests/fakes/fake_engine.cpp
+++ b/tests/fakes/fake_engine.cpp
@@ -298,28 +298,10 @@
           {"tokens_per_second", 0}}}};
 }
 
-// Says good-bye, serves on until nothing runs, then ends the process.
-void leave_on_signal()
+bool is_busy()
 {
-    sigset_t set;
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &set, nullptr);
-    std::thread(
-        [set]
-        {
-            int number = 0;
-            sigwait(&set, &number);
-            stop_announcing();
-            for (bool busy = true; busy; pause(50))
-            {
-                const std::lock_guard lock(state.mutex);
-                busy = state.running > 0 || !state.waiting.empty();
-            }
-            _exit(0);
-        })
-        .detach();
+    const std::lock_guard lock(state.mutex);
+    return state.running > 0 || !state.waiting.empty();
 }
 
 cxxopts::Options flags()
@@ -392,7 +374,7 @@
         const auto parsed = flags().parse(argc, argv);
         read_flags(parsed);
         std::signal(SIGPIPE, SIG_IGN);
-        leave_on_signal();
+        leave_on_signal(is_busy);
         start_announcing(
             {split_list(parsed["admins"].as<std::string>()),
              read_token(parsed["token-file"].as<std::string>()),
