--- a/src/daemon/journal_port.cpp
+++ b/src/daemon/journal_port.cpp
@@ -138,6 +138,11 @@
     return {std::nullopt, happened};
 }
 
+bool is_idle(const journal_port& port)
+{
+    return port.waiting.empty() && port.again.empty();
+}
+
 std::vector<proposal> due(journal_port& port, time_point now)
 {
     std::vector<proposal> result;
--- a/src/daemon/journal_port.hpp
+++ b/src/daemon/journal_port.hpp
@@ -69,6 +69,9 @@
 journal_news
 take(journal_port& port, const proposal_answer& answer, time_point now);
 
+/// Whether no command is under way.
+bool is_idle(const journal_port& port);
+
 /// Proposals to make again now.
 std::vector<proposal> due(journal_port& port, time_point now);
 
--- a/src/daemon/serving_actions.cpp
+++ b/src/daemon/serving_actions.cpp
@@ -104,7 +104,7 @@
         record(duty, std::move(happened->value));
     }
     else if (std::holds_alternative<drained>(action))
-        duty.links.on_drained();
+        duty.drained_at = now();
     else if (!tell_peers(duty, action))
         answer(duty, std::move(action));
 }
--- a/src/daemon/serving_duty.cpp
+++ b/src/daemon/serving_duty.cpp
@@ -14,16 +14,13 @@
 namespace
 {
 
+using namespace serving_parts;
+
 constexpr duration tick_interval = 10ms;
 // For answers that callers got just before this entry left them.
 constexpr duration address_margin = 500ms;
-
-} // namespace
-
-namespace
-{
-
-using namespace serving_parts;
+// Longest wait, at the end, for the journal to store the last answers.
+constexpr duration journal_wait_limit = 3s;
 
 // An entry that cannot confirm its configuration takes no new work.
 bool refuse_stale(duty_state& duty, const request_arrived& arrived)
@@ -68,6 +65,17 @@
     feed(duty, drain_started{duty.instance_ends, successors(duty.entries, at)});
 }
 
+// Says that nothing is left, once the journal has the last answers.
+void check_drained(duty_state& duty, time_point at)
+{
+    if (!duty.drained_at)
+        return;
+    if (!is_idle(duty.journal) && at - *duty.drained_at < journal_wait_limit)
+        return;
+    duty.drained_at.reset();
+    duty.links.on_drained();
+}
+
 void on_tick(duty_state& duty)
 {
     const time_point at = now();
@@ -80,6 +88,7 @@
     if (duty.refuse_from && at >= *duty.refuse_from)
         start_drain(duty, at);
     feed(duty, tick{});
+    check_drained(duty, at);
 }
 
 void schedule_tick(duty_state& duty)
@@ -128,11 +137,16 @@
     if (const auto* gone = std::get_if<caller_gone>(&input))
         if (withdraw(state_->gate, gone->connection))
             return;
-    if (const auto* finished = std::get_if<attempt_finished>(&input))
-        forget(state_->view, finished->attempt);
-    if (const auto* failed = std::get_if<attempt_failed>(&input))
-        forget(state_->view, failed->attempt);
+    const auto* finished = std::get_if<attempt_finished>(&input);
+    const auto* failed = std::get_if<attempt_failed>(&input);
+    const bool is_end = finished != nullptr || failed != nullptr;
+    if (is_end)
+        forget(
+            state_->view,
+            finished != nullptr ? finished->attempt : failed->attempt);
     feed(*state_, input);
+    if (is_end)
+        run_gate(*state_, now());
 }
 
 void serving_duty::take(upstream_message&& message)
--- a/src/daemon/serving_state.hpp
+++ b/src/daemon/serving_state.hpp
@@ -83,6 +83,8 @@
     std::optional<time_point> instance_ends;
     /// When a draining entry begins to refuse new requests.
     std::optional<time_point> refuse_from;
+    /// When the last accepted request ended; the journal may still be busy.
+    std::optional<time_point> drained_at;
     pacer gossip{gossip_interval, {}};
     pacer report{entry_report_interval, {}};
     pacer evidence{evidence_interval, {}};
--- a/tests/process/serving_test.cpp
+++ b/tests/process/serving_test.cpp
@@ -195,6 +195,18 @@
         check_whole(answer, 300);
         CHECK(system.node(0).wait(20) == 0);
     }
+    SECTION("and stores the answer of an order before it ends")
+    {
+        system.start_desk("desk-1", {"--delay-ms=300"});
+        system.node(0).send(SIGTERM);
+        const auto first = place_order(system, 0, "last-order", 7);
+        CHECK(first.status == 201);
+        CHECK(system.node(0).wait(20) == 0);
+        const auto again = place_order(system, 1, "last-order", 7);
+        CHECK(again.status == 201);
+        CHECK(again.body == first.body);
+        CHECK(runs_of(system, "last-order") == 1);
+    }
     SECTION("and is not handed out any more")
     {
         system.node(0).send(SIGTERM);
