--- a/src/observe/ctl/run.cpp
+++ b/src/observe/ctl/run.cpp
@@ -50,7 +50,7 @@
 
 std::string config_target(const arguments& asked)
 {
-    const std::string collection = "/v1/config/" + asked.collection;
+    std::string collection = "/v1/config/" + asked.collection;
     if (asked.name.empty())
         return collection;
     return collection + "/" + observe::percent_encoded(asked.name);
