--- a/src/daemon/serving_actions.cpp
+++ b/src/daemon/serving_actions.cpp
@@ -27,9 +27,7 @@
     const time_point at = now();
     const auto* entry = membership::find(duty.view.directory, seen.target);
     if (entry != nullptr)
-        seen.key.band = band_of(
-            utilisation(duty.view, entry->value, at) * entry->value.slots,
-            entry->value.slots);
+        seen.key.band = band_of(utilisation(duty.view, entry->value, at));
     if (auto counted = observe::request_of(
             seen, entry == nullptr ? nullptr : &entry->value))
         duty.links.events.observe(std::move(*counted));
--- a/src/daemon/version_watch.cpp
+++ b/src/daemon/version_watch.cpp
@@ -1,7 +1,5 @@
 #include "daemon/version_watch.hpp"
 
-#include <algorithm>
-
 namespace bergamotusher
 {
 
@@ -31,9 +29,8 @@
 
 } // namespace
 
-load_band band_of(double requests, std::uint32_t slots)
+load_band band_of(double used)
 {
-    const double used = requests / std::max(slots, 1U);
     if (used < medium_load)
         return load_band::low;
     return used < full_load ? load_band::medium : load_band::full;
--- a/src/daemon/version_watch.hpp
+++ b/src/daemon/version_watch.hpp
@@ -35,8 +35,8 @@
     bool changed = false;
 };
 
-/// How loaded an upstream is, from requests over slots.
-load_band band_of(double requests, std::uint32_t slots);
+/// How loaded an upstream is, from its requests over its slots.
+load_band band_of(double used);
 
 /// Sums up what came since the last call and judges it.
 watch_result
--- a/src/serving/admission_check.cpp
+++ b/src/serving/admission_check.cpp
@@ -1,9 +1,8 @@
 #include "serving/admission_check.hpp"
 
+#include "base/digest.hpp"
 #include "serving/stream_resume.hpp"
 
-#include <openssl/evp.h>
-
 #include <algorithm>
 
 namespace bergamotusher::serving
@@ -15,19 +14,6 @@
 /// Ends each field of a fingerprint, so that fields cannot run together.
 constexpr char field_end = '\0';
 
-std::string to_hex(const unsigned char* bytes, unsigned int size)
-{
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string hex;
-    hex.reserve(std::size_t{size} * 2);
-    for (unsigned int i = 0; i < size; ++i)
-    {
-        hex += digits[bytes[i] >> 4U];
-        hex += digits[bytes[i] & 15U];
-    }
-    return hex;
-}
-
 const route* longest_route(const service& target, std::string_view path)
 {
     const route* best = nullptr;
@@ -100,10 +86,7 @@
     text += request.path;
     text += field_end;
     text += request.body;
-    unsigned char digest[EVP_MAX_MD_SIZE];
-    unsigned int size = 0;
-    EVP_Digest(text.data(), text.size(), digest, &size, EVP_sha256(), nullptr);
-    return to_hex(digest, size);
+    return sha256_hex(text);
 }
 
 check_result check_request(
