--- /dev/null
+++ b/src/base/shared_clock.cpp
@@ -0,0 +1,39 @@
+#include "base/shared_clock.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace bergamotusher
+{
+
+namespace
+{
+
+std::int64_t in_ms(time_point now)
+{
+    constexpr std::int64_t microseconds_per_ms = 1000;
+    return now.time_since_epoch().count() / microseconds_per_ms;
+}
+
+} // namespace
+
+void note_clock(
+    shared_clock& clock, const node_id& node, wall_time said, time_point now)
+{
+    clock.samples[node] = {said.milliseconds - in_ms(now), now};
+}
+
+std::int64_t
+true_time_ms(const shared_clock& clock, wall_time own, time_point now)
+{
+    std::vector<std::int64_t> offsets{own.milliseconds - in_ms(now)};
+    for (const auto& [node, each] : clock.samples)
+        if (now - each.taken_at < sample_life)
+            offsets.push_back(each.offset_ms);
+    const auto middle =
+        offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
+    std::nth_element(offsets.begin(), middle, offsets.end());
+    return in_ms(now) + *middle;
+}
+
+} // namespace bergamotusher
--- a/src/consensus/joining.cpp
+++ b/src/consensus/joining.cpp
@@ -29,7 +29,8 @@
 
 void found_cluster(replica& replica, actions& out, time_point now)
 {
-    if (!replica.hard.admitted && is_empty(replica) &&
+    if (replica.options.may_found && !replica.hard.admitted &&
+        is_empty(replica) &&
         is_voter(members_of(replica), replica.options.self) &&
         all_initial_voters_empty(replica))
         admit(replica, out, now);
--- a/src/consensus/leader.cpp
+++ b/src/consensus/leader.cpp
@@ -108,6 +108,22 @@
     return std::nullopt;
 }
 
+/// The number of voters to repair towards.
+std::size_t voters_wanted(const replica& replica, time_point now)
+{
+    const limits& limits = replica.options.limits;
+    if (!limits.every_member_votes)
+        return limits.wanted_voters;
+    const auto remembered = [&](const auto& follower)
+    {
+        return now - follower.second.heard_at <
+               replica.options.timing.member_forgotten_after;
+    };
+    const auto heard = static_cast<std::size_t>(std::count_if(
+        replica.followers.begin(), replica.followers.end(), remembered));
+    return std::max(limits.wanted_voters, heard + 1);
+}
+
 bool may_succeed(const replica& replica, const node_id& id, time_point now)
 {
     const auto peer = replica.followers.find(id);
@@ -372,7 +388,7 @@
         return;
     }
     const auto planned = plan_repair(
-        members, health_of(replica, now), replica.options.limits.wanted_voters);
+        members, health_of(replica, now), voters_wanted(replica, now));
     if (planned)
         append_members(replica, out, *planned, now);
     else if (const auto gone = retired_learner(replica, now))
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -36,6 +36,9 @@
     double clock_drift = 0.05;
     /// A voter silent for so long counts as lost and is replaced.
     duration voter_lost_after = 3000ms;
+    /// A member silent for so long no longer counts towards the voters wanted
+    /// where every member votes; longer than any restart of an instance.
+    duration member_forgotten_after = 15000ms;
 };
 
 /// Bounds on what a replica holds and sends.
@@ -52,6 +55,9 @@
     /// A learner so many entries behind the commit index is caught up.
     std::size_t caught_up_lag = 64;
     std::size_t wanted_voters = 3;
+    /// Every member that is heard from is to vote; `wanted_voters` then names
+    /// the first membership only.
+    bool every_member_votes = false;
 };
 
 /// What a replica is made of.
@@ -60,6 +66,9 @@
     node_id self;
     /// All nodes that the settings name, this one too.
     std::vector<candidate_member> nodes;
+    /// False where a cluster exists already: an empty folder then joins it and
+    /// never founds another.
+    bool may_found = true;
     /// Names the data folder; drawn when the folder was made, never 0.
     std::uint64_t storage_id = 1;
     /// Seeds the election timeouts.
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control_duty.hpp"
 
+#include "base/clock.hpp"
 #include "consensus/encoding.hpp"
 #include "daemon/control_state.hpp"
 
@@ -144,6 +145,7 @@
 /// Wakes the timer early when deadlines begin to matter.
 void hasten_timer(control_duty& duty)
 {
+    // The loop's timers run by the steady clock, not by `steady_now`.
     if (duty.timer.expiry() > std::chrono::steady_clock::now() + expiry_step)
         arm_timer(duty);
 }
@@ -261,7 +263,7 @@
     if (!duty.held.empty() || !duty.logged.empty() || !duty.forwarded.empty())
         due = std::min(due, now + expiry_step);
     due = std::max(due, now + 1ms);
-    duty.timer.expires_at(due);
+    duty.timer.expires_after(due - now);
     duty.timer.async_wait(
         [&duty](const boost::system::error_code& error)
         {
@@ -272,8 +274,7 @@
 
 time_point steady_now()
 {
-    return std::chrono::time_point_cast<duration>(
-        std::chrono::steady_clock::now());
+    return uptime();
 }
 
 void give(control_duty& duty, const consensus::input& input)
--- a/src/daemon/control_duty.hpp
+++ b/src/daemon/control_duty.hpp
@@ -48,8 +48,11 @@
 struct control_options
 {
     node_id self;
-    /// All control nodes, this one too; the same at each of them.
+    /// All control nodes, this one too; the same at each of them. Where members
+    /// come and go, the nodes that a new member asks.
     std::vector<peer_address> nodes;
+    /// False where a cluster exists already.
+    bool may_found = true;
     std::string data_dir;
     std::string cluster = "bergamotusher";
     consensus::timing timing;
--- a/src/daemon/control_start.cpp
+++ b/src/daemon/control_start.cpp
@@ -58,6 +58,7 @@
     made.self = options.self;
     for (const peer_address& node : options.nodes)
         made.nodes.push_back({node.id, node.domain});
+    made.may_found = options.may_found;
     made.storage_id = storage_id;
     made.seed = options.seed;
     made.timing = options.timing;
--- a/src/daemon/http_client.cpp
+++ b/src/daemon/http_client.cpp
@@ -33,6 +33,8 @@
         request_.keep_alive(false);
         if (!call.body.empty())
             request_.set(http::field::content_type, "application/json");
+        for (const auto& [name, value] : call.fields)
+            request_.set(name, value);
         request_.body() = call.body;
         request_.prepare_payload();
     }
--- a/src/daemon/http_client.hpp
+++ b/src/daemon/http_client.hpp
@@ -10,6 +10,8 @@
 
 #include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace bergamotusher
 {
@@ -23,6 +25,8 @@
     /// Sent as JSON if not empty.
     std::string body;
     duration time_limit = 1s;
+    /// More header fields.
+    std::vector<std::pair<std::string, std::string>> fields{};
 };
 
 /// What came back. Status 0: no answer; the call may have had its effect.
--- a/src/daemon/peers_duty.cpp
+++ b/src/daemon/peers_duty.cpp
@@ -1,5 +1,7 @@
 #include "daemon/peers_duty.hpp"
 
+#include "base/clock.hpp"
+
 #include <boost/lockfree/spsc_queue.hpp>
 #include <zmq.hpp>
 
@@ -23,10 +25,11 @@
 
 constexpr int reconnect_ms = 100;
 constexpr int reconnect_max_ms = 1000;
-/// A connection that answers no ping for so long is closed, so that one over
-/// a partition does not wait for the kernel's timeouts when it ends.
-constexpr int ping_interval_ms = 2000;
-constexpr int ping_timeout_ms = 4000;
+/// How often connections that are no longer used are looked for.
+constexpr duration forget_step = 5s;
+/// Connections to other nodes that are kept where membership is open; the
+/// target size has 410 nodes.
+constexpr std::size_t open_dealers_max = 1024;
 constexpr std::int64_t message_bytes_max = std::int64_t{8} * 1024 * 1024;
 /// Messages taken from the network before the senders get their turn.
 constexpr int receive_burst = 256;
@@ -76,6 +79,9 @@
     zmq::socket_t monitor;
     zmq::socket_t gatekeeper;
     std::map<node_id, zmq::socket_t> dealers;
+    /// When each node was last sent something, where membership is open.
+    std::map<node_id, time_point> used_at;
+    time_point forget_at;
     std::map<node_id, std::uint64_t> incarnations;
 
     std::thread thread;
@@ -106,14 +112,25 @@
         ::write(duty.wake_file, &one, sizeof(one));
 }
 
+int milliseconds(duration span)
+{
+    return static_cast<int>(span / 1ms);
+}
+
 void set_common(zmq::socket_t& socket, const peers_options& options)
 {
     socket.set(zmq::sockopt::linger, 0);
     socket.set(zmq::sockopt::sndhwm, options.queue);
     socket.set(zmq::sockopt::rcvhwm, options.queue);
     socket.set(zmq::sockopt::maxmsgsize, message_bytes_max);
-    socket.set(zmq::sockopt::heartbeat_ivl, ping_interval_ms);
-    socket.set(zmq::sockopt::heartbeat_timeout, ping_timeout_ms);
+    const peers_timing& timing = options.timing;
+    socket.set(zmq::sockopt::heartbeat_ivl, milliseconds(timing.ping_interval));
+    socket.set(
+        zmq::sockopt::heartbeat_timeout, milliseconds(timing.ping_timeout));
+    if (timing.connect_timeout > 0s)
+        socket.set(
+            zmq::sockopt::connect_timeout,
+            milliseconds(timing.connect_timeout));
 }
 
 /// Answers the transport's question whether a client key is let in.
@@ -231,7 +248,7 @@
         envelope.incarnation(),
         envelope.kind(),
         std::move(*envelope.mutable_body())};
-    if (duty.dealers.count(message.from) == 0)
+    if (!duty.options.open_membership && duty.dealers.count(message.from) == 0)
     {
         duty.unknown_sender.fetch_add(1, std::memory_order_relaxed);
         return;
@@ -270,6 +287,41 @@
     }
 }
 
+/// Connects to a node that was not sent anything before, and closes what has
+/// not been used for long.
+void meet(peers_duty& duty, const node_id& to)
+{
+    const time_point now = uptime();
+    duty.used_at[to] = now;
+    if (now >= duty.forget_at)
+    {
+        duty.forget_at = now + forget_step;
+        for (auto i = duty.used_at.begin(); i != duty.used_at.end();)
+        {
+            if (now - i->second < duty.options.forget_after)
+            {
+                ++i;
+                continue;
+            }
+            duty.dealers.erase(i->first);
+            duty.incarnations.erase(i->first);
+            i = duty.used_at.erase(i);
+        }
+    }
+    if (duty.dealers.count(to) != 0 || to == duty.options.self ||
+        duty.dealers.size() >= open_dealers_max)
+        return;
+    try
+    {
+        open_dealer(duty, {to, to.value, {}});
+    }
+    catch (const zmq::error_t&)
+    {
+        // Not an address; the message is counted as unreachable.
+        duty.malformed.fetch_add(1, std::memory_order_relaxed);
+    }
+}
+
 void transmit(peers_duty& duty, outgoing_message&& message)
 {
     const hybrid_time at =
@@ -282,6 +334,8 @@
     envelope.set_logical(at.logical);
     envelope.set_body(std::move(message.body));
     const std::string bytes = envelope.SerializeAsString();
+    if (duty.options.open_membership)
+        meet(duty, message.to);
     const auto dealer = duty.dealers.find(message.to);
     if (dealer == duty.dealers.end() ||
         !dealer->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait))
--- a/src/daemon/peers_duty.hpp
+++ b/src/daemon/peers_duty.hpp
@@ -16,6 +16,7 @@
 #include <bergamotusher/error_kind.hpp>
 #include <bergamotusher/event.hpp>
 #include <bergamotusher/ids.hpp>
+#include <bergamotusher/time.hpp>
 
 #include <array>
 #include <cstdint>
@@ -45,6 +46,19 @@
     std::string secret_key;
 };
 
+/// How soon a connection that went silent is noticed and replaced.
+struct peers_timing
+{
+    /// Between the pings of one connection.
+    duration ping_interval = 2000ms;
+    /// A connection that answers no ping for so long is closed, so that one
+    /// over a partition does not wait for the kernel's timeouts when it ends.
+    duration ping_timeout = 4000ms;
+    /// The longest that a connection may take to be established; zero leaves
+    /// it to the kernel.
+    duration connect_timeout{};
+};
+
 /// What the duty is made of.
 struct peers_options
 {
@@ -55,6 +69,14 @@
     std::string address;
     /// The other nodes; one that is `self` is passed over.
     std::vector<peer_address> peers;
+    /// Nodes come and go: the id of a node is the address of its peers duty.
+    /// A connection is made when something is first sent there, and any sender
+    /// is let in.
+    bool open_membership = false;
+    /// Connections to nodes that were sent nothing for so long are closed,
+    /// where membership is open.
+    duration forget_after = 60s;
+    peers_timing timing;
     /// None means that connections are neither encrypted nor checked.
     std::optional<peer_keys> keys;
     /// Messages that wait for one peer, and for this duty.
--- a/src/daemon/supervisor.cpp
+++ b/src/daemon/supervisor.cpp
@@ -1,5 +1,7 @@
 #include "daemon/supervisor.hpp"
 
+#include "base/clock.hpp"
+
 #include <algorithm>
 #include <exception>
 
@@ -15,16 +17,12 @@
 
 time_point now()
 {
-    return std::chrono::time_point_cast<duration>(
-        std::chrono::steady_clock::now());
+    return uptime();
 }
 
 wall_time wall_now()
 {
-    const auto since_epoch =
-        std::chrono::system_clock::now().time_since_epoch();
-    return {std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch)
-                .count()};
+    return time_of_day();
 }
 
 duty::duty(std::string name, duty_limits limits)
--- /dev/null
+++ b/src/gateway/entry_process.cpp
@@ -0,0 +1,401 @@
+#include "gateway/entry_process.hpp"
+
+#include "base/clock.hpp"
+#include "base/mailbox.hpp"
+#include "daemon/http_server.hpp"
+#include "daemon/peers_duty.hpp"
+#include "gateway/caller_server.hpp"
+#include "gateway/control_link.hpp"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <sstream>
+
+namespace bergamotusher::gateway
+{
+
+namespace
+{
+
+using observe::decision;
+using observe::log_line;
+
+constexpr std::size_t peers_ring = 4096;
+/// Housekeeping: leases, reports, idle connections.
+constexpr duration tick_interval = 100ms;
+/// How often settings are looked at without a signal.
+constexpr duration settings_interval = 3s;
+/// While it drains, an entry takes requests for this part of its time, since
+/// callers keep their answers of where to go for a while.
+constexpr double taking_part = 0.36;
+/// The last part of the time in which a drained entry ends by itself.
+constexpr duration last_moment = 300ms;
+
+class entry_process
+{
+public:
+    entry_process(
+        const entry_settings& settings,
+        const entry_wire& wire,
+        std::function<std::optional<entry_settings>()> reload);
+
+    int run();
+
+private:
+    void tick();
+    void schedule();
+    void on_signal();
+    void drain();
+    void check_drained();
+    void reload();
+    std::string metrics() const;
+
+    entry_settings settings_;
+    entry_wire wire_;
+    std::function<std::optional<entry_settings>()> reload_;
+    observe::decision_log log_;
+    boost::asio::io_context loop_{1};
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer timer_;
+    entry_view view_;
+    relay relay_;
+    peers_handle peers_;
+    peers_sender& to_peers_;
+    mailbox<incoming_message> from_peers_;
+    control_link link_;
+    caller_server callers_;
+    http_server readiness_;
+    std::unique_ptr<http_server> metrics_;
+    time_point reload_at_;
+    std::optional<time_point> draining_since_;
+    bool stopped_taking_ = false;
+};
+
+peers_options peer_options(const entry_settings& settings)
+{
+    peers_options options;
+    options.self.value = to_string(settings.peer_address);
+    options.incarnation =
+        static_cast<std::uint64_t>(time_of_day().milliseconds);
+    options.address = to_string(settings.peer_address);
+    options.open_membership = true;
+    options.timing = {700ms, 1500ms, 1000ms};
+    return options;
+}
+
+relay_options relay_settings(const entry_settings& settings)
+{
+    relay_options options;
+    options.domain = settings.domain;
+    options.retries = settings.retries;
+    return options;
+}
+
+control_link_options
+link_options(const entry_settings& settings, site::parse_function parse)
+{
+    control_link_options options;
+    options.seeds = settings.seeds;
+    options.caller_address = to_string(settings.caller_address);
+    options.domain = settings.domain;
+    options.site_lease = settings.site_lease;
+    options.parse = parse;
+    return options;
+}
+
+caller_server_options caller_options(const entry_settings& settings)
+{
+    caller_server_options options;
+    options.address = settings.caller_address;
+    options.connections = settings.connections;
+    return options;
+}
+
+entry_process::entry_process(
+    const entry_settings& settings,
+    const entry_wire& wire,
+    std::function<std::optional<entry_settings>()> reload)
+    : settings_(settings)
+    , wire_(wire)
+    , reload_(std::move(reload))
+    , log_(settings.name, "entry", {})
+    , signals_(loop_, SIGTERM, SIGINT, SIGHUP)
+    , timer_(loop_)
+    , relay_(loop_, wire_.words, relay_settings(settings), view_, log_)
+    , peers_(make_peers(peer_options(settings)))
+    , to_peers_(make_sender(*peers_, peers_ring))
+    , from_peers_(
+          loop_,
+          peers_ring,
+          [this](incoming_message&& message)
+          {
+              if (message.kind == wire::control_report)
+                  link_.on_control_report(message.from, message.body);
+              else
+                  link_.on_directory(message.from, message.body);
+          })
+    , link_(
+          link_options(settings, wire.parse_site),
+          view_,
+          relay_,
+          log_,
+          [this](const node_id& to, const std::string& report) {
+              send(to_peers_, {to, wire::entry_report, report});
+          })
+    , callers_(
+          loop_,
+          relay_,
+          caller_options(settings),
+          [this] {
+              return view_.site ? view_.site->value.limits
+                                : site::caller_limits{};
+          })
+    , readiness_(
+          loop_,
+          settings.readiness_address,
+          {},
+          [this](http_request&&, const std::shared_ptr<http_exchange>& exchange)
+          {
+              const bool ready = link_.ready(uptime());
+              exchange->answer(ready ? 200 : 503, {}, "");
+          })
+{
+    for (const auto kind : {wire::control_report, wire::site_directory})
+        on_message(
+            *peers_,
+            kind,
+            [this](incoming_message&& message)
+            { from_peers_.push(std::move(message)); });
+    if (settings.metrics_port)
+        metrics_ = std::make_unique<http_server>(
+            loop_,
+            endpoint{settings.readiness_address.ip, *settings.metrics_port},
+            http_limits{},
+            [this](
+                http_request&&, const std::shared_ptr<http_exchange>& exchange)
+            {
+                exchange->answer(
+                    200,
+                    {{"Content-Type", "text/plain; version=0.0.4"}},
+                    metrics());
+            });
+}
+
+int entry_process::run()
+{
+    if (const auto wrong = start(*peers_))
+    {
+        log_.write(
+            log_line(decision::process_stopped).with("reason", wrong->detail),
+            uptime());
+        return 1;
+    }
+    log_.write(
+        log_line(decision::process_started)
+            .with("version", BERGAMOTUSHER_VERSION)
+            .with("caller_address", to_string(settings_.caller_address))
+            .with("domain", settings_.domain.value)
+            .with("seeds", static_cast<int>(settings_.seeds.size())),
+        uptime());
+    reload_at_ = uptime() + settings_interval;
+    on_signal();
+    tick();
+    loop_.run();
+    stop(*peers_);
+    log_.write(
+        log_line(decision::process_stopped)
+            .with("reason", "drained")
+            .with("under_way", static_cast<int>(relay_.under_way())),
+        uptime());
+    return 0;
+}
+
+void entry_process::on_signal()
+{
+    signals_.async_wait(
+        [this](const boost::system::error_code& error, int number)
+        {
+            if (error)
+                return;
+            if (number == SIGHUP)
+                reload();
+            else
+                drain();
+            on_signal();
+        });
+}
+
+void entry_process::reload()
+{
+    reload_at_ = uptime() + settings_interval;
+    const auto newer = reload_();
+    if (!newer)
+        return;
+    settings_.seeds = newer->seeds;
+    settings_.grace = newer->grace;
+    link_.add_seeds(newer->seeds);
+    log_.write(
+        log_line(decision::settings_reloaded)
+            .with("seeds", static_cast<int>(newer->seeds.size())),
+        uptime());
+}
+
+void entry_process::drain()
+{
+    if (draining_since_)
+        return;
+    const time_point now = uptime();
+    draining_since_ = now;
+    log_.write(
+        log_line(decision::process_stopping)
+            .with("reason", "signal")
+            .with("under_way", static_cast<int>(relay_.under_way()))
+            .with("grace_ms", settings_.grace),
+        now);
+    link_.drain(now);
+    callers_.close_after_answers();
+}
+
+void entry_process::check_drained()
+{
+    const duration passed = uptime() - *draining_since_;
+    if (!stopped_taking_ &&
+        passed > from_seconds(to_seconds(settings_.grace) * taking_part))
+    {
+        stopped_taking_ = true;
+        relay_.refuse_new();
+        callers_.stop_accepting();
+    }
+    const bool over = passed > settings_.grace - last_moment;
+    if (over || (stopped_taking_ && relay_.under_way() == 0))
+        loop_.stop();
+}
+
+void entry_process::tick()
+{
+    const time_point now = uptime();
+    link_.tick(now);
+    relay_.tick();
+    callers_.tick();
+    if (draining_since_)
+        check_drained();
+    if (now >= reload_at_)
+        reload();
+    schedule();
+}
+
+void entry_process::schedule()
+{
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            if (!error)
+                tick();
+        });
+}
+
+std::string entry_process::metrics() const
+{
+    std::ostringstream out;
+    const auto head = [&](const char* name, const char* type, const char* help)
+    {
+        out << "# HELP bergamotusher_" << name << ' ' << help
+            << "\n# TYPE bergamotusher_" << name << ' ' << type << '\n';
+    };
+    const auto one = [&](const char* name,
+                         const char* type,
+                         const char* help,
+                         std::uint64_t value)
+    {
+        head(name, type, help);
+        out << "bergamotusher_" << name << ' ' << value << '\n';
+    };
+    const relay_counters& counts = relay_.counters();
+    const pool_counters& pool = relay_.connections();
+    const caller_counters& callers = callers_.counters();
+    one("requests_total", "counter", "Requests taken.", counts.taken);
+    one("answers_total",
+        "counter",
+        "Upstreams' answers passed on.",
+        counts.answered);
+    one("failures_total", "counter", "Requests that failed.", counts.failed);
+    one("cut_answers_total", "counter", "Answers cut midway.", counts.cut);
+    one("callers_left_total",
+        "counter",
+        "Callers that left early.",
+        counts.callers_left);
+    one("sends_total", "counter", "Requests sent to upstreams.", counts.sent);
+    one("repeats_total",
+        "counter",
+        "Sends beyond the first.",
+        counts.sent_again);
+    one("resumes_total", "counter", "Streams taken up again.", counts.resumed);
+    one("events_total", "counter", "Events of streams.", counts.events);
+    one("under_way", "gauge", "Requests under way.", relay_.under_way());
+    one("upstream_connects_total",
+        "counter",
+        "Connections to upstreams.",
+        pool.connects);
+    one("upstream_reuses_total",
+        "counter",
+        "Requests on kept connections.",
+        pool.reuses);
+    one("upstream_connect_failures_total",
+        "counter",
+        "Connections that failed.",
+        pool.connect_failures);
+    one("stray_answers_total",
+        "counter",
+        "Answers of upstreams that nobody waited for.",
+        pool.stray_answers);
+    one("caller_connections",
+        "gauge",
+        "Open connections of callers.",
+        callers.open);
+    one("malformed_requests_total",
+        "counter",
+        "Requests that could not be read.",
+        callers.malformed);
+    one("log_lines_dropped_total",
+        "counter",
+        "Log lines dropped.",
+        log_.dropped());
+    one("upstreams", "gauge", "Upstreams known.", view_.upstreams.size());
+    one("site_version",
+        "gauge",
+        "Version of the site in force.",
+        view_.site ? view_.site->value.version : 0);
+    head("refusals_total", "counter", "Requests refused, by kind.");
+    for (const auto& [kind, count] : counts.refused)
+        out << "bergamotusher_refusals_total{kind=\"" << answer_of(kind).name
+            << "\"} " << count << '\n';
+    head("first_byte_ms", "histogram", "Time to the first byte of answers.");
+    std::uint64_t sum = 0;
+    for (const auto& [bound, count] : counts.first_byte)
+    {
+        sum += count;
+        out << "bergamotusher_first_byte_ms_bucket{le=\"" << bound << "\"} "
+            << sum << '\n';
+    }
+    out << "bergamotusher_first_byte_ms_bucket{le=\"+Inf\"} " << sum
+        << "\nbergamotusher_first_byte_ms_count " << sum << '\n';
+    return out.str();
+}
+
+} // namespace
+
+int run_entry(
+    const entry_settings& settings,
+    const entry_wire& wire,
+    const std::function<std::optional<entry_settings>()>& reload)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    entry_process process(settings, wire, reload);
+    return process.run();
+}
+
+} // namespace bergamotusher::gateway
--- /dev/null
+++ b/src/gateway/event_splitter.cpp
@@ -0,0 +1,67 @@
+#include "gateway/event_splitter.hpp"
+
+#include "gateway/http_message.hpp"
+
+namespace bergamotusher::gateway
+{
+
+namespace
+{
+
+/// Past the blank line that ends the first event; npos if it is not there.
+std::size_t end_of_event(std::string_view text)
+{
+    for (std::size_t at = text.find('\n'); at != std::string_view::npos;
+         at = text.find('\n', at + 1))
+    {
+        if (text.substr(at + 1, 1) == "\n")
+            return at + 2;
+        if (text.substr(at + 1, 2) == "\r\n")
+            return at + 3;
+    }
+    return std::string_view::npos;
+}
+
+std::optional<std::uint64_t> id_of(std::string_view event)
+{
+    while (!event.empty())
+    {
+        const auto end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        if (!line.empty() && line.back() == '\r')
+            line.remove_suffix(1);
+        if (line.substr(0, 3) == "id:")
+        {
+            line.remove_prefix(3);
+            if (!line.empty() && line.front() == ' ')
+                line.remove_prefix(1);
+            return parse_number(line);
+        }
+        if (end == std::string_view::npos)
+            break;
+        event.remove_prefix(end + 1);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string take_bytes(event_splitter& splitter, std::string_view bytes)
+{
+    splitter.partial.append(bytes);
+    std::string_view rest = splitter.partial;
+    for (std::size_t end = end_of_event(rest); end != std::string_view::npos;
+         end = end_of_event(rest))
+    {
+        if (const auto id = id_of(rest.substr(0, end)))
+            splitter.last_id = id;
+        ++splitter.events;
+        rest.remove_prefix(end);
+    }
+    std::string whole =
+        splitter.partial.substr(0, splitter.partial.size() - rest.size());
+    splitter.partial.erase(0, whole.size());
+    return whole;
+}
+
+} // namespace bergamotusher::gateway
--- /dev/null
+++ b/src/gateway/placement.hpp
@@ -0,0 +1,127 @@
+// Which upstream a request is sent to: the one whose first token (or answer)
+// is predicted soonest, with the costs of distance and of faults added as time.
+#pragma once
+
+#include "gateway/dialect.hpp"
+#include "gateway/prompt_cache.hpp"
+#include "site/upstream_directory.hpp"
+
+#include <bergamotusher/time.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bergamotusher::gateway
+{
+
+/// Figures that placing works with.
+struct placement_options
+{
+    /// Prompt tokens that an engine reads in a millisecond; the deployments'
+    /// sheets give 42.8.
+    double prompt_tokens_per_ms = 42.8;
+    /// Time that each running request adds to a step of its engine, in ms;
+    /// a step takes 6.35 ms and a little more for each request in its batch.
+    double running_cost_ms = 0.6;
+    /// Added for an upstream in another failure domain, in ms: its bytes are
+    /// priced and take longer.
+    double distance_cost_ms = 12;
+    /// Added for an upstream that has failed lately, for each failure, in ms.
+    double failure_cost_ms = 400;
+    /// How fast failures are forgotten.
+    duration failure_memory = 4s;
+    /// A report of load counts for so long.
+    duration load_memory = 2s;
+    /// An upstream that could not be reached is passed over for so long; it
+    /// doubles with each further failure, up to `avoid_longest`.
+    duration avoid_first = 300ms;
+    duration avoid_longest = 4s;
+    /// Part of the slots that may be taken before others are preferred to wait
+    /// for.
+    double slots_used = 0.95;
+    /// Parts of a prompt that an upstream is taken to hold if it stands first
+    /// or second in the order of its shared part, though this entry never sent
+    /// it there: other entries have.
+    double first_holder_kept = 0.8;
+    double second_holder_kept = 0.4;
+};
+
+/// What an entry knows of an upstream.
+struct upstream_view
+{
+    site::upstream value;
+    std::uint64_t id_hash = 0;
+    /// Requests of this entry there, by what they still wait for.
+    std::uint32_t own_running = 0;
+    /// Prompt tokens of own requests that have not begun to answer.
+    std::uint64_t own_unread_tokens = 0;
+    prompt_cache cache;
+    /// The newest report of its load, with own requests at that moment.
+    std::optional<answer_facts::load> reported;
+    std::uint32_t own_at_report = 0;
+    time_point reported_at;
+    /// Fades by `failure_memory`.
+    double failures = 0;
+    time_point failures_at;
+    std::uint32_t unreachable_in_a_row = 0;
+    time_point avoid_until;
+    /// No node has heard from it lately.
+    bool is_silent = false;
+};
+
+/// What placing must know of a request.
+struct placement_request
+{
+    const std::vector<prompt_part>* parts = nullptr;
+    std::uint64_t prompt_tokens = 0;
+    /// Upstreams that this request was sent to before.
+    const std::set<upstream_id>* tried = nullptr;
+};
+
+struct placement_choice
+{
+    upstream_view* upstream = nullptr;
+    /// Prompt tokens that it will have to read.
+    std::uint64_t unread_tokens = 0;
+    /// Predicted time to the first token, in ms.
+    double predicted_ms = 0;
+    /// Why there is none: some upstreams are ready, but all are full.
+    bool all_full = false;
+};
+
+/// Chooses among `upstreams`, which are those of the service and version.
+placement_choice choose(
+    const placement_options& options,
+    const std::vector<upstream_view*>& upstreams,
+    const placement_request& request,
+    const failure_domain& here,
+    time_point now);
+
+/// Requests that run or wait at the upstream, of all entries, as far as is
+/// known.
+std::uint32_t running_at(
+    const placement_options& options,
+    const upstream_view& view,
+    time_point now);
+
+/// Notes a failure that speaks against the upstream.
+void note_failure(
+    const placement_options& options, upstream_view& view, time_point now);
+
+/// Notes that it could not be reached.
+void note_unreachable(
+    const placement_options& options, upstream_view& view, time_point now);
+
+/// Notes an answer.
+void note_answer(
+    upstream_view& view,
+    const std::optional<answer_facts::load>& load,
+    time_point now);
+
+std::uint64_t hash_of(std::string_view text);
+
+} // namespace bergamotusher::gateway
--- /dev/null
+++ b/src/site/control_process.cpp
@@ -0,0 +1,315 @@
+#include "site/control_process.hpp"
+
+#include "base/clock.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <memory>
+
+namespace bergamotusher::site
+{
+
+namespace
+{
+
+using observe::decision;
+using observe::log_line;
+
+/// Housekeeping of the process.
+constexpr duration check_interval = 200ms;
+constexpr duration settings_interval = 3s;
+/// A replica whose storage failed is started again after this.
+constexpr duration storage_pause = 1s;
+/// A node that goes hands over for so long at most.
+constexpr duration leave_time = 2500ms;
+/// What was taken is answered within this; operators wait for a second.
+constexpr duration answer_time = 1s;
+
+class control_process
+{
+public:
+    control_process(
+        const control_settings& settings,
+        const control_wire& wire,
+        std::function<std::optional<control_settings>()> reload);
+
+    int run();
+
+private:
+    void check();
+    void schedule();
+    void on_signal();
+    void stop_after_leaving();
+    void restart_storage(time_point now);
+
+    control_settings settings_;
+    control_wire wire_;
+    std::function<std::optional<control_settings>()> reload_;
+    observe::decision_log log_;
+    boost::asio::io_context loop_{1};
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer timer_;
+    peers_handle peers_;
+    control_service service_;
+    control_handle control_;
+    std::vector<std::unique_ptr<http_server>> servers_;
+    std::unique_ptr<http_server> metrics_;
+    std::atomic<bool> storage_failed_{false};
+    time_point restart_at_;
+    time_point reload_at_;
+    std::optional<time_point> stopping_since_;
+};
+
+peers_options peer_options(const control_settings& settings)
+{
+    peers_options options;
+    options.self.value = to_string(settings.peer_address);
+    options.incarnation =
+        static_cast<std::uint64_t>(time_of_day().milliseconds);
+    options.address = to_string(settings.peer_address);
+    options.open_membership = true;
+    options.timing = {700ms, 1500ms, 1000ms};
+    return options;
+}
+
+control_options replica_options_of(const control_settings& settings)
+{
+    control_options options;
+    options.self.value = to_string(settings.peer_address);
+    for (const node_id& seed : settings.seeds)
+        options.nodes.push_back({seed, seed.value, {}});
+    options.may_found = settings.may_found;
+    options.data_dir = settings.data_dir;
+    options.limits.every_member_votes = true;
+    // So many that a quorum outlives the lost disks.
+    options.limits.wanted_voters = 2 * settings.disks_lost_max + 1;
+    options.confirm_every = 500ms;
+    return options;
+}
+
+control_service_options service_options(
+    const control_settings& settings,
+    const control_wire& wire,
+    boost::asio::io_context& loop)
+{
+    control_service_options options;
+    options.self.value = to_string(settings.peer_address);
+    options.seeds = settings.seeds;
+    options.announcement_interval = settings.announcement_interval;
+    options.duty_pause = settings.duty_pause;
+    options.usage = settings.usage;
+    if (wire.duties)
+        options.duties = wire.duties(loop);
+    return options;
+}
+
+control_process::control_process(
+    const control_settings& settings,
+    const control_wire& wire,
+    std::function<std::optional<control_settings>()> reload)
+    : settings_(settings)
+    , wire_(wire)
+    , reload_(std::move(reload))
+    , log_(settings.name, "control", {})
+    , signals_(loop_, SIGTERM, SIGINT, SIGHUP)
+    , timer_(loop_)
+    , peers_(make_peers(peer_options(settings)))
+    , service_(
+          loop_, service_options(settings, wire, loop_), wire.parse_site, log_)
+{
+    control_options options = replica_options_of(settings);
+    options.record =
+        [this](event_kind kind, std::uint64_t number, const std::string& detail)
+    {
+        boost::asio::post(
+            loop_,
+            [this, kind, number, detail]
+            {
+                log_.write(
+                    log_line(decision::membership_changed)
+                        .with("what", to_name(kind))
+                        .with("number", number)
+                        .with("detail", detail),
+                    uptime());
+            });
+    };
+    options.on_failure = [this](const failure& wrong)
+    {
+        storage_failed_ = true;
+        boost::asio::post(
+            loop_,
+            [this, detail = wrong.detail]
+            {
+                log_.write(
+                    log_line(decision::dependency_lost)
+                        .with("dependency", "disk")
+                        .with("reason", detail),
+                    uptime());
+            });
+    };
+    control_ = make_control(std::move(options), service_.machine(), *peers_);
+    service_.wire(*control_, *peers_);
+    for (const endpoint& address : settings.api_addresses)
+        servers_.push_back(std::make_unique<http_server>(
+            loop_,
+            address,
+            http_limits{.body_bytes = std::uint64_t{8} << 20},
+            [this](
+                http_request&& request,
+                const std::shared_ptr<http_exchange>& exchange)
+            { wire_.serve(service_, std::move(request), exchange); }));
+    if (settings.metrics_port && !settings.api_addresses.empty())
+        metrics_ = std::make_unique<http_server>(
+            loop_,
+            endpoint{settings.api_addresses.front().ip, *settings.metrics_port},
+            http_limits{},
+            [this](
+                http_request&&, const std::shared_ptr<http_exchange>& exchange)
+            {
+                exchange->answer(
+                    200,
+                    {{"Content-Type", "text/plain; version=0.0.4"}},
+                    service_.metrics());
+            });
+}
+
+int control_process::run()
+{
+    if (const auto wrong = bergamotusher::start(*control_))
+    {
+        // A full disk may have room again; the upstreams' and callers' side
+        // needs none.
+        storage_failed_ = true;
+        log_.write(
+            log_line(decision::dependency_lost)
+                .with("dependency", "disk")
+                .with("reason", wrong->detail),
+            uptime());
+    }
+    if (const auto wrong = bergamotusher::start(*peers_))
+    {
+        log_.write(
+            log_line(decision::process_stopped).with("reason", wrong->detail),
+            uptime());
+        return 1;
+    }
+    log_.write(
+        log_line(decision::process_started)
+            .with("version", BERGAMOTUSHER_VERSION)
+            .with("peer_address", to_string(settings_.peer_address))
+            .with("may_found", settings_.may_found ? 1 : 0)
+            .with("applied", status_of(*control_).applied)
+            .with("admitted", status_of(*control_).admitted ? 1 : 0),
+        uptime());
+    reload_at_ = uptime() + settings_interval;
+    service_.start();
+    on_signal();
+    check();
+    loop_.run();
+    stop(*peers_);
+    stop(*control_);
+    log_.write(
+        log_line(decision::process_stopped).with("reason", "signal"), uptime());
+    return 0;
+}
+
+void control_process::on_signal()
+{
+    signals_.async_wait(
+        [this](const boost::system::error_code& error, int number)
+        {
+            if (error)
+                return;
+            const time_point now = uptime();
+            if (number == SIGHUP)
+                reload_at_ = now;
+            else if (!stopping_since_)
+            {
+                stopping_since_ = now;
+                log_.write(
+                    log_line(decision::process_stopping)
+                        .with("reason", "signal"),
+                    now);
+                leave(*control_);
+            }
+            on_signal();
+        });
+}
+
+void control_process::restart_storage(time_point now)
+{
+    if (!storage_failed_)
+        return;
+    if (restart_at_ == time_point{})
+        restart_at_ = now + storage_pause;
+    if (now < restart_at_)
+        return;
+    restart_at_ = now + storage_pause;
+    stop(*control_);
+    storage_failed_ = false;
+    if (bergamotusher::start(*control_))
+    {
+        storage_failed_ = true;
+        return;
+    }
+    restart_at_ = {};
+    log_.write(
+        log_line(decision::dependency_regained)
+            .with("dependency", "disk")
+            .with("applied", status_of(*control_).applied),
+        now);
+}
+
+void control_process::check()
+{
+    const time_point now = uptime();
+    restart_storage(now);
+    if (now >= reload_at_)
+    {
+        reload_at_ = now + settings_interval;
+        if (const auto newer = reload_())
+        {
+            log_.write(
+                log_line(decision::settings_reloaded)
+                    .with("seeds", static_cast<int>(newer->seeds.size())),
+                now);
+            settings_.grace = newer->grace;
+        }
+    }
+    if (stopping_since_)
+    {
+        const duration passed = now - *stopping_since_;
+        const bool leads = status_of(*control_).role == consensus::role::leader;
+        if ((!leads && passed > answer_time) || passed > leave_time)
+            loop_.stop();
+    }
+    schedule();
+}
+
+void control_process::schedule()
+{
+    timer_.expires_after(check_interval);
+    timer_.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            if (!error)
+                check();
+        });
+}
+
+} // namespace
+
+int run_control(
+    const control_settings& settings,
+    const control_wire& wire,
+    const std::function<std::optional<control_settings>()>& reload)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    control_process process(settings, wire, reload);
+    return process.run();
+}
+
+} // namespace bergamotusher::site
--- /dev/null
+++ b/src/site/control_service.cpp
@@ -0,0 +1,737 @@
+#include "site/control_service.hpp"
+
+#include "base/clock.hpp"
+#include "site/site_codec.hpp"
+#include "wire/site.pb.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <sstream>
+
+namespace bergamotusher::site
+{
+
+namespace
+{
+
+namespace pb = wire::site;
+using observe::decision;
+using observe::log_line;
+
+/// Housekeeping, and the lag with which upstreams are told to other nodes.
+constexpr duration tick_interval = 250ms;
+/// Between two tellings of what was heard of unchanged upstreams.
+constexpr duration refresh_interval = 1s;
+/// Between two whole directories to one entry.
+constexpr duration directory_interval = 2s;
+/// Between two rounds of renting.
+constexpr duration rent_interval = 1s;
+/// A call to the platform without an answer is made again after this.
+constexpr duration report_again = 1500ms;
+/// An entry counts among those that share limits for so long.
+constexpr duration entry_shares_for = 10s;
+constexpr std::size_t peers_ring = 4096;
+constexpr std::size_t control_ring = 1024;
+/// Announcements that an upstream may miss before it counts as silent.
+constexpr int missed_announcements = 4;
+
+struct tally
+{
+    std::uint64_t good = 0;
+    std::uint64_t bad = 0;
+    std::uint64_t timed = 0;
+    double log_sum = 0;
+};
+
+} // namespace
+
+/// What one start of an entry reported last.
+struct control_service::entry_load
+{
+    time_point heard_at;
+    /// By service, version and route, since the entry's start.
+    std::map<std::tuple<std::string, std::string, std::string>, tally> tallies;
+    /// The same at the time when the move began that is judged.
+    std::map<std::tuple<std::string, std::string, std::string>, tally> base;
+    std::map<service_name, service_demand> demands;
+};
+
+control_service::control_service(
+    boost::asio::io_context& loop,
+    control_service_options options,
+    parse_function parse,
+    observe::decision_log& log)
+    : loop_(loop)
+    , timer_(loop)
+    , options_(std::move(options))
+    , log_(log)
+    , store_(
+          parse, [this] { boost::asio::post(loop_, [this] { on_changed(); }); })
+{
+}
+
+control_service::~control_service() = default;
+
+state_machine control_service::machine()
+{
+    state_machine made;
+    made.apply = [this](std::uint64_t index, const std::string& command)
+    {
+        return store_.apply(index, command);
+    };
+    made.snapshot = [this]
+    {
+        return store_.snapshot();
+    };
+    made.restore = [this](std::uint64_t, const std::string& bytes)
+    {
+        if (const std::error_code error = store_.restore(bytes))
+            throw std::system_error(error, "cannot read a snapshot");
+    };
+    return made;
+}
+
+void control_service::wire(control_duty& control, peers_duty& peers)
+{
+    control_ = &control;
+    to_peers_ = &make_sender(peers, peers_ring);
+    from_peers_ = std::make_unique<mailbox<incoming_message>>(
+        loop_,
+        peers_ring,
+        [this](incoming_message&& message)
+        {
+            if (message.kind == wire::entry_report)
+                on_entry_report(message);
+            else
+                on_directory(message);
+        });
+    from_control_ = std::make_unique<mailbox<proposal_answer>>(
+        loop_,
+        control_ring,
+        [this](proposal_answer&& answer) { on_answer(answer); });
+    proposer_ = &make_proposer(
+        control,
+        control_ring,
+        [this](control_news&& news)
+        {
+            if (auto* answer = std::get_if<proposal_answer>(&news))
+                from_control_->push(std::move(*answer));
+        });
+    for (const auto kind : {wire::entry_report, wire::site_directory})
+        on_message(
+            peers,
+            kind,
+            [this](incoming_message&& message)
+            { from_peers_->push(std::move(message)); });
+}
+
+void control_service::start()
+{
+    schedule();
+}
+
+void control_service::schedule()
+{
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            if (error)
+                return;
+            tick();
+            schedule();
+        });
+}
+
+void control_service::send(
+    const node_id& to, wire::message_kind kind, std::string body)
+{
+    bergamotusher::send(*to_peers_, {to, kind, std::move(body)});
+}
+
+std::set<node_id> control_service::control_nodes() const
+{
+    const control_status status = status_of(*control_);
+    std::set<node_id> nodes(options_.seeds.begin(), options_.seeds.end());
+    if (status.commit > 0)
+        nodes.clear();
+    for (const auto* ids : {&status.members.voters, &status.members.learners})
+        nodes.insert(ids->begin(), ids->end());
+    nodes.erase(options_.self);
+    return nodes;
+}
+
+std::optional<duration> control_service::confirmed_age(time_point now) const
+{
+    const control_status status = status_of(*control_);
+    if (status.configuration_until == time_point{})
+        return std::nullopt;
+    // The lease counts from the moment at which the others were asked.
+    return now -
+           (status.configuration_until - control_options{}.configuration_lease);
+}
+
+void control_service::on_changed()
+{
+    const std::uint64_t before = shown_.version;
+    const auto moves = shown_.moves;
+    shown_ = store_.read();
+    const time_point now = uptime();
+    if (shown_.version != before)
+        log_.write(
+            log_line(decision::site_changed)
+                .with("version", shown_.version)
+                .with("before", before)
+                .with("applied", shown_.applied),
+            now);
+    if (shown_.moves != moves)
+        for (const auto& [service, move] : shown_.moves)
+            log_.write(
+                log_line(decision::move_changed)
+                    .with("service", service.value)
+                    .with("target", move.target.value)
+                    .with("number", move.number)
+                    .with("state", to_name(move.state))
+                    .with("share", move.share)
+                    .with("reason", move.reason),
+                now);
+    if (shown_.version == before && shown_.moves == moves)
+        return;
+    // Entries hear of it at once from the leader, and within their next
+    // report from everyone else.
+    if (status_of(*control_).role == consensus::role::leader)
+        for (const auto& [id, entry] : entries_)
+            send_report(id, 0, false);
+}
+
+void control_service::propose_change(std::string command, change_callback done)
+{
+    const std::uint64_t ticket = next_ticket_++;
+    pending_.emplace(ticket, std::move(done));
+    const bool taken = propose(
+        *proposer_,
+        {ticket, std::move(command), uptime() + options_.change_time});
+    if (!taken)
+        on_answer({ticket, proposal_outcome::not_committed, {}, 0});
+}
+
+void control_service::on_answer(const proposal_answer& answer)
+{
+    const auto found = pending_.find(answer.ticket);
+    if (found == pending_.end())
+        return;
+    const change_callback done = std::move(found->second);
+    pending_.erase(found);
+    if (answer.outcome == proposal_outcome::committed)
+        done(decode_result(answer.result));
+    else
+        done(std::nullopt);
+}
+
+void control_service::replace(
+    std::uint64_t version, std::string content, change_callback done)
+{
+    propose_change(
+        encode_replace(version, content, time_of_day()),
+        [this, version, done = std::move(done)](
+            std::optional<command_outcome> outcome)
+        {
+            if (outcome && outcome->wrong)
+                log_.write(
+                    log_line(decision::site_rejected)
+                        .with("version", version)
+                        .with("held", outcome->version)
+                        .with("reason", outcome->wrong->detail),
+                    uptime());
+            done(std::move(outcome));
+        });
+}
+
+void control_service::start_move(
+    const service_name& service,
+    const version_name& target,
+    std::int64_t duration_ms,
+    change_callback done)
+{
+    propose_change(
+        encode_start_move(
+            service,
+            target,
+            duration_ms,
+            {true_time_ms(clock_, time_of_day(), uptime())}),
+        std::move(done));
+}
+
+std::optional<site_state> control_service::read() const
+{
+    const auto age = confirmed_age(uptime());
+    if (!age || *age > options_.read_age)
+        return std::nullopt;
+    return store_.read();
+}
+
+void control_service::announce(const upstream& news)
+{
+    const time_point now = uptime();
+    const merge_outcome outcome = merge(directory_, news, now);
+    if (outcome == merge_outcome::stale)
+        return;
+    if (outcome == merge_outcome::refreshed)
+    {
+        refreshed_[news.id] = news;
+        return;
+    }
+    log_.write(
+        log_line(decision::upstream_changed)
+            .with("upstream", news.id.value)
+            .with("service", news.service.value)
+            .with("address", news.address)
+            .with("version", news.version.value)
+            .with("state", to_name(news.state))
+            .with("sequence", news.sequence)
+            .with("started_ms", news.started_ms)
+            .with("reclaimable", news.reclaimable ? 1 : 0)
+            .with("from", "upstream"),
+        now);
+    spread({news}, {});
+}
+
+void control_service::withdraw(
+    const upstream_id& id, std::int64_t started_ms, std::uint64_t sequence)
+{
+    const time_point now = uptime();
+    if (!remove(directory_, id, started_ms, sequence, now))
+        return;
+    log_.write(
+        log_line(decision::upstream_changed)
+            .with("upstream", id.value)
+            .with("state", "gone")
+            .with("from", "upstream"),
+        now);
+    spread({directory_.upstreams.at(id).value}, {});
+}
+
+void control_service::spread(
+    const std::vector<upstream>& news, const node_id& except)
+{
+    const std::string body = encode_directory(news);
+    const std::set<node_id> nodes = control_nodes();
+    // What came from another control node has been told to the others by it.
+    if (except.empty())
+        for (const node_id& node : nodes)
+            send(node, wire::site_directory, body);
+    for (const auto& [id, entry] : entries_)
+        send(id, wire::site_directory, body);
+}
+
+void control_service::on_directory(const incoming_message& message)
+{
+    const auto news = decode_directory(message.body);
+    if (!news)
+        return;
+    const time_point now = uptime();
+    std::vector<upstream> changed;
+    for (const upstream& each : *news)
+        if (merge(directory_, each, now) == merge_outcome::changed)
+        {
+            changed.push_back(each);
+            log_.write(
+                log_line(decision::upstream_changed)
+                    .with("upstream", each.id.value)
+                    .with("state", to_name(each.state))
+                    .with("sequence", each.sequence)
+                    .with("from", message.from.value),
+                now);
+        }
+    if (!changed.empty())
+        spread(changed, message.from);
+}
+
+void control_service::on_entry_report(const incoming_message& message)
+{
+    pb::entry_report report;
+    if (!report.ParseFromString(message.body))
+        return;
+    const time_point now = uptime();
+    known_entry& entry = entries_[message.from];
+    const bool was_ready = entry.ready;
+    const bool fresh = entry.incarnation != message.incarnation;
+    entry.caller_address = report.caller_address();
+    entry.domain.value = report.domain();
+    entry.incarnation = message.incarnation;
+    entry.site_version = report.site_version();
+    entry.ready = report.ready();
+    entry.heard_at = now;
+    note_clock(clock_, message.from, {report.time_of_day_ms()}, now);
+    if (fresh || was_ready != entry.ready)
+        log_.write(
+            log_line(decision::membership_changed)
+                .with("entry", message.from.value)
+                .with("ready", entry.ready ? 1 : 0)
+                .with("incarnation", entry.incarnation),
+            now);
+    for (const pb::account_amount& each : report.wanted_shares())
+        entry.wanted_shares[{each.account()}] = each.amount();
+    const usage_source source{message.from, message.incarnation};
+    for (const pb::usage_count& each : report.usage())
+        note_usage(
+            usage_, source, each.window(), {each.account()}, each.begun());
+    if (report.loads_size() > 0 || report.tallies_size() > 0)
+    {
+        auto& load = loads_[source];
+        if (!load)
+            load = std::make_unique<entry_load>();
+        load->heard_at = now;
+        for (const pb::version_tally& each : report.tallies())
+            load->tallies[{each.service(), each.version(), each.route()}] = {
+                each.good(), each.bad(), each.timed(), each.log_sum()};
+        load->demands.clear();
+        for (const pb::service_load& each : report.loads())
+            load->demands[{each.service()}] = {
+                static_cast<double>(each.running() + each.waiting()),
+                each.prompt_rate()};
+    }
+    send_report(
+        message.from, report.asked_at_us(), report.wanted_shares_size() > 0);
+    if (report.directory_digest() != directory_.digest &&
+        now - entry.directory_sent_at > directory_interval)
+    {
+        entry.directory_sent_at = now;
+        send(
+            message.from,
+            wire::site_directory,
+            encode_directory(all(directory_)));
+    }
+}
+
+void control_service::send_report(
+    const node_id& to, std::int64_t asked_at_us, bool to_leader_data)
+{
+    const time_point now = uptime();
+    known_entry& entry = entries_[to];
+    const control_status status = status_of(*control_);
+    pb::control_report report;
+    report.set_asked_at_us(asked_at_us);
+    report.set_time_of_day_ms(time_of_day().milliseconds);
+    const auto age = confirmed_age(now);
+    report.set_confirmed_age_us(age && asked_at_us != 0 ? age->count() : -1);
+    report.set_site_version(shown_.version);
+    if (entry.site_version < shown_.version && shown_.content)
+        report.set_site(*shown_.content);
+    report.set_leader(status.leader.value);
+    for (const node_id& node : control_nodes())
+        report.add_members(node.value);
+    report.add_members(options_.self.value);
+    for (const auto& [service, move] : shown_.moves)
+        write(*report.add_moves(), move);
+    std::uint32_t entries = 0;
+    for (const auto& [id, each] : entries_)
+        if (now - each.heard_at < entry_shares_for)
+            ++entries;
+    report.set_entries(entries);
+    report.set_is_leader(leads_);
+    if (leads_ && to_leader_data &&
+        now >= leads_since_ + admission::budget_lease)
+        for (const auto& [account, wanted] : entry.wanted_shares)
+        {
+            pb::account_amount& share = *report.add_shares();
+            share.set_account(account.value);
+            share.set_amount(
+                admission::grant_share(budgets_, account, to, wanted, now));
+        }
+    if (leads_)
+        for (const upstream_id& id : silent(
+                 directory_,
+                 options_.announcement_interval * missed_announcements,
+                 now))
+            report.add_silent_upstreams(id.value);
+    send(to, wire::control_report, report.SerializeAsString());
+}
+
+void control_service::tick()
+{
+    const time_point now = uptime();
+    note_leadership();
+    if (now - refreshed_at_ >= refresh_interval)
+    {
+        refreshed_at_ = now;
+        std::vector<upstream> news;
+        for (auto& [id, each] : refreshed_)
+            news.push_back(std::move(each));
+        refreshed_.clear();
+        if (!news.empty())
+        {
+            const std::string body = encode_directory(news);
+            for (const node_id& node : control_nodes())
+                send(node, wire::site_directory, body);
+        }
+        forget(directory_, options_.keep, now);
+        for (auto i = entries_.begin(); i != entries_.end();)
+            i = now - i->second.heard_at > options_.keep ? entries_.erase(i)
+                                                         : std::next(i);
+        for (auto i = loads_.begin(); i != loads_.end();)
+            i = now - i->second->heard_at > options_.keep ? loads_.erase(i)
+                                                          : std::next(i);
+    }
+    if (leads_)
+        lead(now);
+}
+
+void control_service::note_leadership()
+{
+    const time_point now = uptime();
+    const auto fence = order_fence(*control_, now);
+    const bool leads = fence.has_value();
+    if (leads == leads_ && (!leads || fence->term == lead_term_))
+        return;
+    leads_ = leads;
+    lead_term_ = leads ? fence->term : 0;
+    leads_since_ = now;
+    budgets_ = {};
+    rented_ = {};
+    delivered_.clear();
+    reported_.clear();
+    closing_.clear();
+    judged_.clear();
+    log_.write(
+        log_line(decision::leader_changed)
+            .with("leads", leads ? 1 : 0)
+            .with("term", status_of(*control_).term)
+            .with("leader", status_of(*control_).leader.value),
+        now);
+}
+
+bool control_service::may_act(time_point now) const
+{
+    const auto fence = order_fence(*control_, now);
+    return leads_ && fence && fence->term == lead_term_ &&
+           lead_term_ != fenced_term_ &&
+           now >= leads_since_ + options_.duty_pause;
+}
+
+void control_service::lead(time_point now)
+{
+    const std::int64_t now_ms = true_time_ms(clock_, time_of_day(), now);
+    judge_moves(now_ms);
+    close_windows(now_ms);
+    forget_windows(options_.usage, usage_, now_ms);
+    if (now >= rent_at_)
+    {
+        rent_at_ = now + rent_interval;
+        rent(now);
+    }
+}
+
+void control_service::judge_moves(std::int64_t now_ms)
+{
+    for (const auto& [service, move] : shown_.moves)
+    {
+        if (move.state != move_state::active)
+            continue;
+        if (judged_[service] != move.number)
+        {
+            judged_[service] = move.number;
+            for (auto& [source, load] : loads_)
+                load->base = load->tallies;
+        }
+        std::map<std::string, version_evidence> routes;
+        for (const auto& [source, load] : loads_)
+            for (const auto& [key, seen] : load->tallies)
+            {
+                const auto& [of, version, route] = key;
+                if (of != service.value)
+                    continue;
+                tally since = seen;
+                const auto base = load->base.find(key);
+                if (base != load->base.end())
+                {
+                    since.good -= std::min(since.good, base->second.good);
+                    since.bad -= std::min(since.bad, base->second.bad);
+                    since.timed -= std::min(since.timed, base->second.timed);
+                    since.log_sum -= base->second.log_sum;
+                }
+                version_evidence& sum = routes[route];
+                sum.route = route;
+                const bool is_new = version == move.target.value;
+                (is_new ? sum.new_good : sum.old_good) += since.good;
+                (is_new ? sum.new_bad : sum.old_bad) += since.bad;
+                (is_new ? sum.new_timed : sum.old_timed) += since.timed;
+                (is_new ? sum.new_log_sum : sum.old_log_sum) += since.log_sum;
+            }
+        std::vector<version_evidence> evidence;
+        for (auto& [route, each] : routes)
+            evidence.push_back(std::move(each));
+        const version_move next =
+            advance(options_.moves, move, evidence, now_ms);
+        if (!(next == move))
+            propose_change(
+                encode_advance_move(next, time_of_day()),
+                [](const std::optional<command_outcome>&)
+                {
+                    // Judged again with the next tick.
+                });
+    }
+}
+
+void control_service::close_windows(std::int64_t now_ms)
+{
+    const time_point now = uptime();
+    if (!options_.duties.report_usage || !may_act(now))
+        return;
+    for (const usage_window& window :
+         due_windows(options_.usage, usage_, shown_.windows, now_ms))
+        if (closing_.insert(window.number).second)
+            propose_change(
+                encode_close_window(window, time_of_day()),
+                [this,
+                 number = window.number](const std::optional<command_outcome>&)
+                { closing_.erase(number); });
+    for (const usage_window& window : shown_.windows)
+    {
+        const std::int64_t ended =
+            static_cast<std::int64_t>(window.number + 1) *
+            options_.usage.window_ms;
+        if (delivered_.count(window.number) > 0 ||
+            now_ms - ended > options_.usage.give_up_after_ms ||
+            (reported_.count(window.number) > 0 &&
+             now < reported_[window.number] + report_again))
+            continue;
+        reported_[window.number] = now;
+        const std::uint64_t term = lead_term_;
+        options_.duties.report_usage(
+            {term, window},
+            [this, number = window.number, term](duty_answer answer)
+            {
+                log_.write(
+                    log_line(decision::usage_reported)
+                        .with("window", number)
+                        .with("fence", term)
+                        .with("answer", to_name(answer)),
+                    uptime());
+                if (answer == duty_answer::accepted)
+                    delivered_.insert(number);
+                else if (answer == duty_answer::fenced)
+                    fenced_term_ = term;
+            });
+    }
+}
+
+void control_service::rent(time_point now)
+{
+    if (!options_.duties.rent || !may_act(now) || !shown_.current)
+        return;
+    for (const service& each : shown_.current->value.services)
+    {
+        service_demand demand;
+        for (const auto& [source, load] : loads_)
+        {
+            const auto found = load->demands.find(each.name);
+            if (found == load->demands.end() ||
+                now - load->heard_at > options_.entry_patience)
+                continue;
+            demand.requests += found->second.requests;
+            demand.prompt_tokens += found->second.prompt_tokens;
+        }
+        for (const wanted_count& wanted :
+             orders_due(options_.rent, rented_, each, demand, directory_, now))
+        {
+            const std::uint64_t term = lead_term_;
+            options_.duties.rent(
+                {term, wanted.key, wanted.count},
+                [this, wanted, term, demand](duty_answer answer)
+                {
+                    const time_point answered = uptime();
+                    log_.write(
+                        log_line(decision::rent_ordered)
+                            .with("service", wanted.key.service.value)
+                            .with("domain", wanted.key.domain.value)
+                            .with(
+                                "reclaimable",
+                                wanted.key.paid_as == market::reclaimable ? 1
+                                                                          : 0)
+                            .with("count", wanted.count)
+                            .with("requests", demand.requests)
+                            .with("prompt_rate", demand.prompt_tokens)
+                            .with("fence", term)
+                            .with("answer", to_name(answer)),
+                        answered);
+                    if (answer == duty_answer::accepted)
+                        note_accepted(options_.rent, rented_, wanted.key);
+                    else if (answer == duty_answer::unavailable)
+                        note_refused(
+                            options_.rent, rented_, wanted.key, answered);
+                    else if (answer == duty_answer::fenced)
+                        fenced_term_ = term;
+                });
+        }
+    }
+}
+
+std::vector<std::string>
+control_service::entries_for(const failure_domain& domain) const
+{
+    const time_point now = uptime();
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const auto& [id, entry] : entries_)
+        if (entry.ready && now - entry.heard_at < options_.entry_patience)
+            (entry.domain == domain ? near : far)
+                .push_back(entry.caller_address);
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
+bool control_service::ready() const
+{
+    return confirmed_age(uptime()).has_value();
+}
+
+std::string control_service::metrics() const
+{
+    const control_status status = status_of(*control_);
+    std::ostringstream out;
+    const auto line = [&](const char* name,
+                          const char* type,
+                          const char* help,
+                          std::uint64_t value)
+    {
+        out << "# HELP bergamotusher_" << name << ' ' << help
+            << "\n# TYPE bergamotusher_" << name << ' ' << type
+            << "\nbergamotusher_" << name << ' ' << value << '\n';
+    };
+    line("control_term", "gauge", "Term of the log.", status.term);
+    line("control_leads", "gauge", "1 where this node leads.", leads_ ? 1 : 0);
+    line("control_applied", "counter", "Entries applied.", status.applied);
+    line(
+        "control_commits_total",
+        "counter",
+        "Own proposals committed.",
+        status.committed);
+    line(
+        "control_unknown_total",
+        "counter",
+        "Own proposals without a clear end.",
+        status.unknown);
+    line(
+        "control_elections_total",
+        "counter",
+        "Elections begun here.",
+        status.elections);
+    line("control_syncs_total", "counter", "Syncs of the log.", status.syncs);
+    line(
+        "site_version",
+        "gauge",
+        "Version of the site applied.",
+        shown_.version);
+    line("upstreams", "gauge", "Upstreams known.", directory_.upstreams.size());
+    line("entries", "gauge", "Entries known.", entries_.size());
+    line(
+        "log_lines_dropped_total",
+        "counter",
+        "Log lines dropped.",
+        log_.dropped());
+    return out.str();
+}
+
+} // namespace bergamotusher::site
--- /dev/null
+++ b/src/site/site_state.cpp
@@ -0,0 +1,309 @@
+#include "site/site_state.hpp"
+
+#include "site/site_codec.hpp"
+#include "wire/site.pb.h"
+
+#include <algorithm>
+
+namespace bergamotusher::site
+{
+
+namespace
+{
+
+namespace pb = wire::site;
+
+command_outcome
+refused(const site_state& state, error_kind kind, std::string detail)
+{
+    return {failure{kind, std::move(detail)}, state.version};
+}
+
+command_outcome
+run(site_state& state,
+    parse_function parse,
+    const pb::replace_site& from,
+    std::int64_t)
+{
+    if (from.version() < state.version)
+        return {std::nullopt, state.version};
+    if (from.version() == state.version)
+    {
+        if (state.content && *state.content == from.content())
+            return {std::nullopt, state.version};
+        return refused(
+            state,
+            error_kind::revision_conflict,
+            "version " + std::to_string(from.version()) +
+                " is held with another content");
+    }
+    auto parsed = parse(from.content());
+    if (auto* wrong = std::get_if<failure>(&parsed))
+        return {std::move(*wrong), state.version};
+    auto& value = std::get<configuration>(parsed);
+    if (auto wrong = check(value))
+        return {std::move(*wrong), state.version};
+    state.version = from.version();
+    state.content = std::make_shared<const std::string>(from.content());
+    state.current = make_lookup(std::move(value));
+    return {std::nullopt, state.version};
+}
+
+command_outcome
+run(site_state& state,
+    parse_function,
+    const pb::start_move& from,
+    std::int64_t now_ms)
+{
+    const service_name service{from.service()};
+    if (!state.current || find_service(*state.current, service) == nullptr)
+        return refused(
+            state,
+            error_kind::unknown_service,
+            "service \"" + service.value + "\" does not exist");
+    version_move& move = state.moves[service];
+    // An order that is sent again finds its own move under way.
+    if (move.number != 0 && move.target.value == from.target() &&
+        move.state != move_state::reverted &&
+        now_ms < move.started_ms + from.duration_ms())
+        return {std::nullopt, state.version};
+    move = {
+        service,
+        {from.target()},
+        move_state::active,
+        now_ms,
+        from.duration_ms(),
+        move.number + 1,
+        0,
+        {}};
+    return {std::nullopt, state.version};
+}
+
+command_outcome
+run(site_state& state,
+    parse_function,
+    const pb::advance_move& from,
+    std::int64_t)
+{
+    const auto found = state.moves.find({from.service()});
+    if (found == state.moves.end() || found->second.number != from.number() ||
+        found->second.state != move_state::active)
+        return refused(
+            state,
+            error_kind::fenced,
+            "the move of service \"" + from.service() + "\" has ended");
+    found->second.state = static_cast<move_state>(from.state());
+    found->second.share = from.share();
+    found->second.reason = from.reason();
+    return {std::nullopt, state.version};
+}
+
+command_outcome
+run(site_state& state,
+    parse_function,
+    const pb::close_window& from,
+    std::int64_t)
+{
+    for (const usage_window& each : state.windows)
+        if (each.number == from.window())
+            return refused(
+                state,
+                error_kind::fenced,
+                "usage window " + std::to_string(from.window()) + " is closed");
+    usage_window window{from.window(), {}};
+    for (const pb::account_amount& each : from.counts())
+        window.counts[{each.account()}] =
+            static_cast<std::uint64_t>(each.amount());
+    state.windows.push_back(std::move(window));
+    while (state.windows.size() > windows_kept)
+        state.windows.pop_front();
+    return {std::nullopt, state.version};
+}
+
+command_outcome
+run(site_state& state, parse_function parse, const pb::site_command& command)
+{
+    const std::int64_t now_ms = command.time_of_day_ms();
+    switch (command.body_case())
+    {
+    case pb::site_command::kReplace:
+        return run(state, parse, command.replace(), now_ms);
+    case pb::site_command::kStart:
+        return run(state, parse, command.start(), now_ms);
+    case pb::site_command::kAdvance:
+        return run(state, parse, command.advance(), now_ms);
+    case pb::site_command::kClose:
+        return run(state, parse, command.close(), now_ms);
+    case pb::site_command::BODY_NOT_SET:
+        break;
+    }
+    return refused(
+        state, error_kind::malformed_message, "the command cannot be read");
+}
+
+std::string encoded(const command_outcome& outcome)
+{
+    pb::site_result result;
+    if (outcome.wrong)
+    {
+        result.set_error(std::string(answer_of(outcome.wrong->kind).name));
+        result.set_detail(outcome.wrong->detail);
+    }
+    result.set_version(outcome.version);
+    return result.SerializeAsString();
+}
+
+pb::site_command command_at(wall_time now)
+{
+    pb::site_command command;
+    command.set_time_of_day_ms(now.milliseconds);
+    return command;
+}
+
+error_kind kind_named(std::string_view name)
+{
+    for (int i = static_cast<int>(error_kind::malformed_request);
+         i <= static_cast<int>(error_kind::internal);
+         ++i)
+        if (answer_of(static_cast<error_kind>(i)).name == name)
+            return static_cast<error_kind>(i);
+    return error_kind::internal;
+}
+
+} // namespace
+
+std::string apply(
+    site_state& state,
+    parse_function parse,
+    std::uint64_t index,
+    std::string_view command)
+{
+    if (index <= state.applied)
+        return encoded(
+            refused(state, error_kind::fenced, "the index was applied"));
+    state.applied = index;
+    pb::site_command message;
+    if (!message.ParseFromArray(
+            command.data(), static_cast<int>(command.size())))
+        message.Clear();
+    return encoded(run(state, parse, message));
+}
+
+std::string snapshot(const site_state& state)
+{
+    pb::site_snapshot to;
+    to.set_applied(state.applied);
+    to.set_version(state.version);
+    if (state.content)
+        to.set_content(*state.content);
+    for (const auto& [service, move] : state.moves)
+        write(*to.add_moves(), move);
+    for (const usage_window& window : state.windows)
+    {
+        pb::closed_window& one = *to.add_windows();
+        one.set_window(window.number);
+        for (const auto& [account, count] : window.counts)
+        {
+            one.add_counts()->set_account(account.value);
+            one.mutable_counts()->rbegin()->set_amount(
+                static_cast<double>(count));
+        }
+    }
+    return to.SerializeAsString();
+}
+
+std::error_code
+restore(site_state& state, parse_function parse, std::string_view bytes)
+{
+    pb::site_snapshot from;
+    if (!from.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return error_kind::malformed_message;
+    site_state made;
+    made.applied = from.applied();
+    made.version = from.version();
+    if (from.version() > 0)
+    {
+        auto parsed = parse(from.content());
+        if (std::holds_alternative<failure>(parsed))
+            return error_kind::malformed_message;
+        made.content = std::make_shared<const std::string>(from.content());
+        made.current = make_lookup(std::move(std::get<configuration>(parsed)));
+    }
+    for (const pb::move_value& each : from.moves())
+    {
+        version_move move = read(each);
+        made.moves.emplace(move.service, std::move(move));
+    }
+    for (const pb::closed_window& each : from.windows())
+    {
+        usage_window window{each.window(), {}};
+        for (const pb::account_amount& count : each.counts())
+            window.counts[{count.account()}] =
+                static_cast<std::uint64_t>(count.amount());
+        made.windows.push_back(std::move(window));
+    }
+    state = std::move(made);
+    return {};
+}
+
+std::string
+encode_replace(std::uint64_t version, std::string_view content, wall_time now)
+{
+    pb::site_command command = command_at(now);
+    command.mutable_replace()->set_version(version);
+    command.mutable_replace()->set_content(std::string(content));
+    return command.SerializeAsString();
+}
+
+std::string encode_start_move(
+    const service_name& service,
+    const version_name& target,
+    std::int64_t duration_ms,
+    wall_time now)
+{
+    pb::site_command command = command_at(now);
+    command.mutable_start()->set_service(service.value);
+    command.mutable_start()->set_target(target.value);
+    command.mutable_start()->set_duration_ms(duration_ms);
+    return command.SerializeAsString();
+}
+
+std::string encode_advance_move(const version_move& to, wall_time now)
+{
+    pb::site_command command = command_at(now);
+    pb::advance_move& move = *command.mutable_advance();
+    move.set_service(to.service.value);
+    move.set_number(to.number);
+    move.set_state(static_cast<std::uint32_t>(to.state));
+    move.set_share(to.share);
+    move.set_reason(to.reason);
+    return command.SerializeAsString();
+}
+
+std::string encode_close_window(const usage_window& window, wall_time now)
+{
+    pb::site_command command = command_at(now);
+    command.mutable_close()->set_window(window.number);
+    for (const auto& [account, count] : window.counts)
+    {
+        pb::account_amount& one = *command.mutable_close()->add_counts();
+        one.set_account(account.value);
+        one.set_amount(static_cast<double>(count));
+    }
+    return command.SerializeAsString();
+}
+
+command_outcome decode_result(std::string_view result)
+{
+    pb::site_result from;
+    if (!from.ParseFromArray(result.data(), static_cast<int>(result.size())))
+        return {
+            failure{error_kind::malformed_message, "the result cannot be read"},
+            0};
+    command_outcome outcome{std::nullopt, from.version()};
+    if (!from.error().empty())
+        outcome.wrong = failure{kind_named(from.error()), from.detail()};
+    return outcome;
+}
+
+} // namespace bergamotusher::site
--- /dev/null
+++ b/src/site/site_store.cpp
@@ -0,0 +1,47 @@
+#include "site/site_store.hpp"
+
+namespace bergamotusher::site
+{
+
+site_store::site_store(parse_function parse, std::function<void()> changed)
+    : parse_(parse), changed_(std::move(changed))
+{
+}
+
+std::string site_store::apply(std::uint64_t index, std::string_view command)
+{
+    std::string result;
+    {
+        const std::lock_guard lock(mutex_);
+        result = site::apply(state_, parse_, index, command);
+    }
+    changed_();
+    return result;
+}
+
+std::string site_store::snapshot() const
+{
+    const std::lock_guard lock(mutex_);
+    return site::snapshot(state_);
+}
+
+std::error_code site_store::restore(std::string_view bytes)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (bytes.empty())
+            state_ = {};
+        else if (const auto error = site::restore(state_, parse_, bytes))
+            return error;
+    }
+    changed_();
+    return {};
+}
+
+site_state site_store::read() const
+{
+    const std::lock_guard lock(mutex_);
+    return state_;
+}
+
+} // namespace bergamotusher::site
