Plain answers are passed on whole: no bound on a body in the parser

Cause: without a bound, this Beast compares a Content-Length with an empty optional, which any length exceeds; seen as 'body limit exceeded' in the log of each 502.

--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <limits>
 #include <map>
 #include <netinet/tcp.h>
 #include <vector>
@@ -134,7 +135,8 @@
         parser_.emplace();
         parser_->eager(true);
         parser_->header_limit(pool_->options.header_bytes);
-        parser_->body_limit(boost::none);
+        // The holder of the request bounds what it keeps.
+        parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
         parser_->skip(request_.is_head);
         head_told_ = false;
     }
