--- /dev/null
+++ b/src/admission/window_limit.cpp
@@ -0,0 +1,69 @@
+#include "admission/window_limit.hpp"
+
+namespace bergamotusher::admission
+{
+
+namespace
+{
+
+/// A window is counted in so many slices; one that is not wholly over counts
+/// wholly.
+constexpr int slices_per_window = 20;
+
+duration slice_length(const window_bound& bound)
+{
+    return bound.window / slices_per_window;
+}
+
+void drop_over(
+    window_usage& usage, const window_bound& bound, time_point now)
+{
+    while (!usage.slices.empty() &&
+           now - usage.slices.front().begins >
+               bound.window + slice_length(bound))
+    {
+        usage.sum -= usage.slices.front().amount;
+        usage.slices.pop_front();
+    }
+    if (usage.slices.empty())
+        usage.sum = 0;
+}
+
+} // namespace
+
+double window_total(const window_bound& bound, double rate, double burst)
+{
+    return ((rate * to_seconds(bound.window) + burst) * (1 + bound.overshoot) +
+            bound.slack) *
+           bound.used_part;
+}
+
+std::optional<duration> admit(
+    window_usage& usage,
+    const window_bound& bound,
+    double allowed,
+    double amount,
+    time_point now)
+{
+    drop_over(usage, bound, now);
+    if (usage.sum + amount > allowed && usage.sum > 0)
+    {
+        double freed = 0;
+        for (const auto& slice : usage.slices)
+        {
+            freed += slice.amount;
+            if (usage.sum - freed + amount <= allowed)
+                return slice.begins + bound.window + slice_length(bound) - now;
+        }
+        return usage.slices.back().begins + bound.window +
+               slice_length(bound) - now;
+    }
+    if (usage.slices.empty() ||
+        now - usage.slices.back().begins >= slice_length(bound))
+        usage.slices.push_back({now, 0});
+    usage.slices.back().amount += amount;
+    usage.sum += amount;
+    return std::nullopt;
+}
+
+} // namespace bergamotusher::admission
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -121,17 +121,6 @@
             newest - std::min(newest, options_.windows_told)));
     if (!to_leader)
         return report.SerializeAsString();
-    if (view_.site)
-        for (const site::account& each : view_.site->value.accounts)
-        {
-            const auto budget = view_.budgets.find(each.name);
-            if (budget == view_.budgets.end() || each.rate <= 0)
-                continue;
-            pb::account_amount& wanted = *report.add_wanted_shares();
-            wanted.set_account(each.name.value);
-            wanted.set_amount(
-                admission::wanted_share(budget->second, limits_of(each), now));
-        }
     for (const auto& [window, counts] : view_.usage)
         for (const auto& [account, begun] : counts)
         {
@@ -284,13 +273,6 @@
         view_.entries = report.entries();
     if (report.is_leader())
     {
-        const time_point asked{duration(report.asked_at_us())};
-        for (const pb::account_amount& each : report.shares())
-        {
-            const auto budget = view_.budgets.find({each.account()});
-            if (budget != view_.budgets.end())
-                admission::take_lease(budget->second, each.amount(), asked);
-        }
         std::set<std::string> silent(
             report.silent_upstreams().begin(), report.silent_upstreams().end());
         for (auto& [id, upstream] : view_.upstreams)
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -1,5 +1,5 @@
 // Keeps an entry's view up by what the control nodes say: the site and until
-// when it holds, upstreams, version moves, shares of limits. Tells them in turn
+// when it holds, upstreams, version moves. Tells them in turn
 // how the entry stands. Runs on the entry's loop.
 #pragma once
 
--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -91,6 +91,7 @@
     relay_options options;
     options.domain = settings.domain;
     options.retries = settings.retries;
+    options.limits = settings.limits;
     return options;
 }
 
--- a/src/gateway/entry_view.cpp
+++ b/src/gateway/entry_view.cpp
@@ -77,18 +77,4 @@
     return only_other ? found->second : chosen;
 }
 
-account limits_of(const site::account& from)
-{
-    // A budget has no "without limit"; this is beyond what an entry can carry.
-    constexpr double unbounded = 1e12;
-    account limits;
-    limits.name = from.name;
-    limits.tokens_per_second = unbounded;
-    limits.requests_per_second = unbounded;
-    if (from.rate > 0)
-        (from.counts_tokens ? limits.tokens_per_second
-                            : limits.requests_per_second) = from.rate;
-    return limits;
-}
-
 } // namespace bergamotusher::gateway
--- a/src/gateway/entry_view.hpp
+++ b/src/gateway/entry_view.hpp
@@ -3,14 +3,12 @@
 // one loop.
 #pragma once
 
-#include "admission/budget.hpp"
+#include "admission/window_limit.hpp"
 #include "gateway/placement.hpp"
 #include "gateway/retry_allowance.hpp"
 #include "site/site_state.hpp"
 #include "site/upstream_directory.hpp"
 
-#include <bergamotusher/configuration.hpp>
-
 #include <map>
 #include <memory>
 #include <set>
@@ -64,7 +62,7 @@
     std::uint32_t entries = 1;
     /// From this process's uptime to the true time of day.
     std::int64_t time_offset_ms = 0;
-    std::map<account_id, admission::account_budget> budgets;
+    std::map<account_id, admission::window_usage> usage_of_limits;
     std::map<service_name, retry_allowance> retries;
     std::map<tally_key, version_tally> tallies;
     std::map<service_name, service_counts> services;
@@ -81,7 +79,4 @@
 std::vector<upstream_view*> candidates(
     const entry_view& view, const service_name& service, std::uint32_t draw);
 
-/// The account's limits in the form that budgets take.
-account limits_of(const site::account& from);
-
 } // namespace bergamotusher::gateway
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -101,6 +101,7 @@
     , pool_(loop, words, {})
     , timer_(loop)
     , random_(std::random_device{}())
+    , started_at_(uptime())
 {
 }
 
@@ -196,26 +197,31 @@
     if (each->account == nullptr || each->account->rate <= 0)
         return true;
     const time_point now = uptime();
-    const account limits = limits_of(*each->account);
-    auto found = view_.budgets.find(limits.name);
-    if (found == view_.budgets.end())
-        found = view_.budgets
-                    .emplace(
-                        limits.name,
-                        admission::initial_budget(limits, view_.entries, now))
-                    .first;
-    double tokens = 0;
-    if (each->account->counts_tokens)
-        tokens = each->facts.prompt_tokens
+    const site::account& account = *each->account;
+    double amount = 1;
+    if (account.counts_tokens)
+        amount = each->facts.prompt_tokens
                      ? static_cast<double>(
                            *each->facts.prompt_tokens +
                            each->facts.output_tokens.value_or(0))
-                     : each->account->default_tokens;
-    const auto wait =
-        admission::spend(found->second, limits, view_.entries, tokens, now);
+                     : account.default_tokens;
+    const admission::window_bound& bound = options_.limits;
+    double allowed =
+        admission::window_total(bound, account.rate, account.burst) /
+        std::max<std::uint32_t>(view_.entries, 1);
+    if (now - started_at_ < bound.window)
+        allowed *= bound.first_window_part;
+    admission::window_usage& usage = view_.usage_of_limits[account.name];
+    const auto wait = admission::admit(usage, bound, allowed, amount, now);
     if (!wait)
         return true;
-    refuse(each, error_kind::rate_limited, "the account's limit", *wait);
+    refuse(
+        each,
+        error_kind::rate_limited,
+        "the account's limit: " + std::to_string(std::llround(amount)) +
+            " wanted, " + std::to_string(std::llround(usage.sum)) +
+            " used of " + std::to_string(std::llround(allowed)),
+        *wait);
     return false;
 }
 
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -4,6 +4,7 @@
 // event on instances that have a part of one core.
 #pragma once
 
+#include "admission/window_limit.hpp"
 #include "gateway/after_break.hpp"
 #include "gateway/dialect.hpp"
 #include "gateway/entry_view.hpp"
@@ -48,6 +49,7 @@
     failure_domain domain;
     placement_options placement;
     retry_bound retries;
+    admission::window_bound limits;
     /// Requests that wait for an upstream, for one service.
     std::size_t waiting_max = 512;
     /// The wait that callers are told where nothing better is known.
@@ -186,6 +188,7 @@
     boost::asio::steady_timer timer_;
     time_point armed_for_;
     std::mt19937_64 random_;
+    time_point started_at_;
     std::uint64_t next_number_ = 1;
     bool refuses_new_ = false;
     std::map<std::uint64_t, request_ptr> requests_;
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -202,7 +202,7 @@
     // report from everyone else.
     if (status_of(*control_).role == consensus::role::leader)
         for (const auto& [id, entry] : entries_)
-            send_report(id, 0, false);
+            send_report(id, 0);
 }
 
 void control_service::propose_change(std::string command, change_callback done)
@@ -371,8 +371,6 @@
                 .with("ready", entry.ready ? 1 : 0)
                 .with("incarnation", entry.incarnation),
             now);
-    for (const pb::account_amount& each : report.wanted_shares())
-        entry.wanted_shares[{each.account()}] = each.amount();
     const usage_source source{message.from, message.incarnation};
     for (const pb::usage_count& each : report.usage())
         note_usage(
@@ -392,8 +390,7 @@
                 static_cast<double>(each.running() + each.waiting()),
                 each.prompt_rate()};
     }
-    send_report(
-        message.from, report.asked_at_us(), report.wanted_shares_size() > 0);
+    send_report(message.from, report.asked_at_us());
     if (report.directory_digest() != directory_.digest &&
         now - entry.directory_sent_at > directory_interval)
     {
@@ -406,7 +403,7 @@
 }
 
 void control_service::send_report(
-    const node_id& to, std::int64_t asked_at_us, bool to_leader_data)
+    const node_id& to, std::int64_t asked_at_us)
 {
     const time_point now = uptime();
     known_entry& entry = entries_[to];
@@ -431,15 +428,6 @@
             ++entries;
     report.set_entries(entries);
     report.set_is_leader(leads_);
-    if (leads_ && to_leader_data &&
-        now >= leads_since_ + admission::budget_lease)
-        for (const auto& [account, wanted] : entry.wanted_shares)
-        {
-            pb::account_amount& share = *report.add_shares();
-            share.set_account(account.value);
-            share.set_amount(
-                admission::grant_share(budgets_, account, to, wanted, now));
-        }
     if (leads_)
         for (const upstream_id& id : silent(
                  directory_,
@@ -488,7 +476,6 @@
     leads_ = leads;
     lead_term_ = leads ? fence->term : 0;
     leads_since_ = now;
-    budgets_ = {};
     rented_ = {};
     delivered_.clear();
     reported_.clear();
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -1,12 +1,11 @@
 // What a control node does for a shared site: takes the operators' orders and
 // the upstreams' announcements, tells entries what holds, and, where it leads,
-// shares out limits, judges version moves, reports usage and rents upstreams.
+// judges version moves, reports usage and rents upstreams.
 //
 // All of it runs on one loop; the replicated state is applied on the control
 // duty's thread.
 #pragma once
 
-#include "admission/budget.hpp"
 #include "base/mailbox.hpp"
 #include "base/shared_clock.hpp"
 #include "daemon/control_duty.hpp"
@@ -114,7 +113,6 @@
     bool ready = false;
     time_point heard_at;
     time_point directory_sent_at;
-    std::map<account_id, double> wanted_shares;
 };
 
 class control_service
@@ -174,8 +172,7 @@
     void on_entry_report(const incoming_message& message);
     void on_directory(const incoming_message& message);
     void spread(const std::vector<upstream>& news, const node_id& except);
-    void send_report(
-        const node_id& to, std::int64_t asked_at_us, bool to_leader_data);
+    void send_report(const node_id& to, std::int64_t asked_at_us);
     void note_leadership();
     void lead(time_point now);
     void judge_moves(std::int64_t now_ms);
@@ -212,7 +209,6 @@
     std::uint64_t lead_term_ = 0;
     time_point leads_since_;
     std::uint64_t fenced_term_ = 0;
-    admission::budget_ledger budgets_;
     usage_ledger usage_;
     std::set<std::uint64_t> closing_;
     std::map<std::uint64_t, time_point> reported_;
--- a/src/site/rent_policy.cpp
+++ b/src/site/rent_policy.cpp
@@ -27,9 +27,14 @@
             wanted.end(),
             [&](const auto& each) { return each.first <= now; }),
         wanted.end());
+    service_demand& planned = state.demand[service];
+    planned.requests +=
+        options.demand_follows * (demand.requests - planned.requests);
+    planned.prompt_tokens += options.demand_follows *
+                             (demand.prompt_tokens - planned.prompt_tokens);
     const double now_wanted = std::max(
-        demand.requests / options.requests_each,
-        demand.prompt_tokens / options.prompt_tokens_each);
+        planned.requests / options.requests_each,
+        planned.prompt_tokens / options.prompt_tokens_each);
     // Only values that no later one exceeds can still be the highest.
     while (!wanted.empty() && wanted.back().second <= now_wanted)
         wanted.pop_back();
@@ -55,6 +60,36 @@
     return found != state.orders.end() && now < found->second.dry_until;
 }
 
+/// Spreads `count` over the failure domains, the cheapest first.
+std::map<failure_domain, std::uint32_t>
+spread_by_price(const renting_terms& terms, std::uint32_t count)
+{
+    std::vector<std::pair<double, failure_domain>> by_price;
+    for (const auto& [domain, price] : terms.prices)
+        by_price.emplace_back(price, domain);
+    std::sort(by_price.begin(), by_price.end());
+    std::map<failure_domain, std::uint32_t> spread;
+    for (std::uint32_t i = 0; i < count; ++i)
+        ++spread[by_price[i % by_price.size()].second];
+    return spread;
+}
+
+/// Reclaimable upstreams that have served for a while.
+std::uint32_t trusted(
+    const rent_options& options,
+    const upstream_directory& directory,
+    const service_name& service,
+    time_point now)
+{
+    std::uint32_t count = 0;
+    for (const auto& [id, each] : directory.upstreams)
+        if (each.value.service == service && each.value.reclaimable &&
+            each.value.state == upstream_state::ready &&
+            now - each.changed_at >= options.trust)
+            ++count;
+    return count;
+}
+
 } // namespace
 
 std::vector<wanted_count> orders_due(
@@ -68,52 +103,50 @@
     if (!service.renting || service.renting->prices.empty())
         return {};
     const renting_terms& terms = *service.renting;
-    const double need = recent_want(options, state, service.name, demand, now) *
-                        options.headroom;
-    failure_domain cheapest = terms.prices.begin()->first;
-    std::vector<failure_domain> with_reclaimable;
-    for (const auto& [domain, price] : terms.prices)
-    {
-        if (price < terms.prices.at(cheapest))
-            cheapest = domain;
-        const rent_key key{service.name, domain, market::reclaimable};
-        if (terms.reclaimable_price > 0 && !is_dry(state, key, now))
-            with_reclaimable.push_back(domain);
-    }
+    const double need =
+        recent_want(options, state, service.name, demand, now) *
+        options.headroom;
+    if (demand.requests > 0)
+        state.demand_since.emplace(service.name, now);
+    const auto since = state.demand_since.find(service.name);
+    const bool settled = since != state.demand_since.end() &&
+                         now - since->second >= options.settle;
     // One domain's reclaimable upstreams can go at once.
-    const auto domains = with_reclaimable.size();
     const double sharers =
-        static_cast<double>(std::max<std::size_t>(domains, 2) - 1);
+        static_cast<double>(std::max<std::size_t>(terms.prices.size(), 2) - 1);
     const auto reclaimable_each =
-        static_cast<std::uint32_t>(std::ceil(need / sharers));
-    std::uint32_t on_demand = options.on_demand_least;
-    if (domains == 0)
-        on_demand =
-            std::max(on_demand, static_cast<std::uint32_t>(std::ceil(need)));
+        terms.reclaimable_price > 0
+            ? static_cast<std::uint32_t>(std::ceil(need / sharers))
+            : 0;
+    // What they do not carry now is carried by upstreams that stay.
+    const auto needed = static_cast<std::uint32_t>(std::ceil(need));
+    const std::uint32_t carried =
+        std::min(needed, trusted(options, directory, service.name, now));
+    const std::uint32_t on_demand =
+        std::max(options.on_demand_least, needed - carried);
+    const auto fixed_by_domain = spread_by_price(terms, on_demand);
     std::vector<wanted_count> wanted;
     for (const auto& [domain, price] : terms.prices)
     {
-        const rent_key reclaimable{service.name, domain, market::reclaimable};
+        const rent_key reclaimable{
+            service.name, domain, market::reclaimable};
         const rent_key paid{service.name, domain, market::on_demand};
-        const bool can =
-            std::find(
-                with_reclaimable.begin(), with_reclaimable.end(), domain) !=
-            with_reclaimable.end();
-        std::uint32_t spot = can ? reclaimable_each : 0;
-        std::uint32_t fixed = domain == cheapest ? on_demand : 0;
-        // The bounds are on both markets together.
-        if (!can && fixed == 0)
-            fixed = terms.least;
-        spot = std::min(spot, terms.most > fixed ? terms.most - fixed : 0);
-        fixed = std::min(fixed, terms.most);
-        if (can)
-            wanted.push_back({reclaimable, spot});
-        // What is paid by the second stays until its replacement serves.
-        const std::uint32_t ready = present(directory, reclaimable);
+        const bool dry = is_dry(state, reclaimable, now);
         const std::uint32_t held = present(directory, paid);
-        if (can && ready < spot && held > fixed)
-            continue;
+        const auto found = fixed_by_domain.find(domain);
+        std::uint32_t fixed =
+            found == fixed_by_domain.end() ? 0 : found->second;
+        if (reclaimable_each == 0 || present(directory, reclaimable) == 0)
+            fixed = std::max(fixed, terms.least);
+        if (!settled)
+            fixed = std::max(fixed, held);
+        fixed = std::min(fixed, terms.most);
         wanted.push_back({paid, fixed});
+        // The bounds are on both markets together.
+        const std::uint32_t room =
+            terms.most - std::min(terms.most, std::max(held, fixed));
+        if (!dry && terms.reclaimable_price > 0)
+            wanted.push_back({reclaimable, std::min(reclaimable_each, room)});
     }
     std::vector<wanted_count> due;
     for (const wanted_count& each : wanted)
--- a/src/site/rent_policy.hpp
+++ b/src/site/rent_policy.hpp
@@ -38,22 +38,30 @@
 {
     /// Requests that one upstream carries at once within target; beyond it
     /// steps slow down and prompts wait for each other.
-    double requests_each = 18;
-    /// Prompt tokens a second that one upstream reads within target, about a
-    /// third of what it can.
-    double prompt_tokens_each = 14000;
+    double requests_each = 20;
+    /// Prompt tokens a second that one upstream reads within target, about
+    /// half of what it can.
+    double prompt_tokens_each = 21000;
     /// Upstreams of each service that no reclaim can take.
     std::uint32_t on_demand_least = 2;
-    /// Upstreams beyond the demand: one domain's reclaimable ones can go.
+    /// Upstreams wanted beyond the demand.
     double headroom = 1.25;
+    /// How fast the demand that is planned for follows what is reported: part
+    /// of the difference that is taken over with each round.
+    double demand_follows = 0.25;
     /// What was wanted within this time is still wanted: the load comes in
     /// waves, and what is given back takes its caches along.
-    duration memory = 20s;
+    duration memory = 12s;
+    /// Nothing is given back before the demand was seen for so long.
+    duration settle = 5s;
+    /// Reclaimable upstreams must have served for so long before others are
+    /// given back in their place: they tend to come back and go again.
+    duration trust = 4s;
     /// After a refusal an order is not repeated for so long.
     duration refused_pause = 3s;
     /// An order without an answer is sent again after this.
     duration unanswered_pause = 1500ms;
-    /// Standing orders are sent again so often, since upstreams come and go.
+    /// A standing order is sent again if it is not met after this.
     duration repeat = 5s;
 };
 
@@ -79,6 +87,9 @@
 
 struct rent_state
 {
+    /// Demand that is planned for, by service, and since when there is any.
+    std::map<service_name, service_demand> demand;
+    std::map<service_name, time_point> demand_since;
     std::map<rent_key, rent_order> orders;
     /// Upstreams wanted, by service, with the time until which they are.
     std::map<service_name, std::vector<std::pair<time_point, double>>> wanted;
