Rent by need, survive one domain's reclaim; account limits by sliding window

Before: 18 upstreams paid by the second stayed, since the bound on both markets together hid the reclaimable ones; and an account's share of a second was less than one large request at an entry.

--- a/src/admission/window_limit.hpp
+++ b/src/admission/window_limit.hpp
@@ -25,9 +25,9 @@
     double slack = 0;
     /// Part of the bound that is used. The rest is for entries that restart
     /// and forget what they admitted, and for requests that were on their way.
-    double used_part = 0.75;
+    double used_part = 0.85;
     /// Part of its share that an entry uses in its first window.
-    double first_window_part = 0.3;
+    double first_window_part = 0.25;
 };
 
 /// What all entries together may admit in one window.
--- a/src/site/rent_policy.cpp
+++ b/src/site/rent_policy.cpp
@@ -74,20 +74,26 @@
     return spread;
 }
 
-/// Reclaimable upstreams that have served for a while.
-std::uint32_t trusted(
+/// Reclaimable upstreams that have served for a while and would be left if the
+/// failure domain with most of them lost all of its own.
+std::uint32_t left_after_reclaim(
     const rent_options& options,
     const upstream_directory& directory,
     const service_name& service,
     time_point now)
 {
-    std::uint32_t count = 0;
+    std::map<failure_domain, std::uint32_t> counts;
+    std::uint32_t all = 0;
+    std::uint32_t most = 0;
     for (const auto& [id, each] : directory.upstreams)
         if (each.value.service == service && each.value.reclaimable &&
             each.value.state == upstream_state::ready &&
             now - each.changed_at >= options.trust)
-            ++count;
-    return count;
+        {
+            ++all;
+            most = std::max(most, ++counts[each.value.domain]);
+        }
+    return all - most;
 }
 
 } // namespace
@@ -121,7 +127,8 @@
     // What they do not carry now is carried by upstreams that stay.
     const auto needed = static_cast<std::uint32_t>(std::ceil(need));
     const std::uint32_t carried =
-        std::min(needed, trusted(options, directory, service.name, now));
+        std::min(
+        needed, left_after_reclaim(options, directory, service.name, now));
     const std::uint32_t on_demand =
         std::max(options.on_demand_least, needed - carried);
     const auto fixed_by_domain = spread_by_price(terms, on_demand);
