--- a/src/admission/window_limit.cpp
+++ b/src/admission/window_limit.cpp
@@ -1,5 +1,7 @@
 #include "admission/window_limit.hpp"
 
+#include <algorithm>
+
 namespace bergamotusher::admission
 {
 
@@ -38,6 +40,17 @@
            bound.used_part;
 }
 
+double share_of_entry(
+    const window_bound& bound,
+    double total,
+    std::uint32_t entries,
+    duration since_start)
+{
+    const double grown = bound.first_part +
+                         to_seconds(since_start) / to_seconds(bound.window);
+    return total / std::max<std::uint32_t>(entries, 1) * std::min(1.0, grown);
+}
+
 std::optional<duration> admit(
     window_usage& usage,
     const window_bound& bound,
--- a/src/admission/window_limit.hpp
+++ b/src/admission/window_limit.hpp
@@ -26,14 +26,24 @@
     /// Part of the bound that is used. The rest is for entries that restart
     /// and forget what they admitted, and for requests that were on their way.
     double used_part = 0.85;
-    /// Part of its share that an entry uses in its first window.
-    double first_window_part = 0.25;
+    /// Part of its share that an entry may use right after its start, when it
+    /// has forgotten what it admitted; the part grows to the whole within one
+    /// window.
+    double first_part = 0.3;
 };
 
 /// What all entries together may admit in one window.
 double
 window_total(const window_bound& bound, double rate, double burst);
 
+/// The share of one of `entries` entries in `total`, for one that started so
+/// long ago.
+double share_of_entry(
+    const window_bound& bound,
+    double total,
+    std::uint32_t entries,
+    duration since_start);
+
 /// What one entry admitted for one account.
 struct window_usage
 {
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -92,7 +92,8 @@
 
 void control_link::send_reports(time_point now)
 {
-    report_at_ = now + options_.report_interval;
+    report_at_ = now + (ready(now) || draining_ ? options_.report_interval
+                                                : options_.urgent_interval);
     const std::string brief = report(now, false);
     for (auto& [id, node] : nodes_)
     {
@@ -217,6 +218,13 @@
         view_.site_valid_until = std::max(
             view_.site_valid_until,
             asked - duration(report.confirmed_age_us()) + options_.site_lease);
+        if (now < view_.site_valid_until)
+        {
+            relay_.site_confirmed();
+            // The control nodes hand the entry out once they know.
+            if (!was_valid_)
+                report_at_ = now;
+        }
     }
     if (!report.leader().empty() && report.leader() != leader_.value)
     {
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -29,6 +29,8 @@
     failure_domain domain;
     /// How often each control node is told.
     duration report_interval = 400ms;
+    /// The same while the entry waits for a site that holds.
+    duration urgent_interval = 100ms;
     /// How long requests with a key are taken after the moment up to which
     /// the site is known to be the newest. Operators bound it.
     duration site_lease = 4400ms;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -135,28 +135,34 @@
     if (refuses_new_)
         return refuse(
             each, error_kind::draining, "this entry shuts down", 50ms);
+    // An entry that may hold an old site cannot tell what exists.
+    const bool valid = now < view_.site_valid_until;
+    if (!valid && wait_for_site(each))
+        return;
     if (!each->site)
         return refuse(
-            each, error_kind::stale_configuration, "no site is known yet");
+            each,
+            error_kind::stale_configuration,
+            "no site is known yet",
+            options_.site_wait);
     const std::string& target = each->message.target;
     each->route = find_route(
         *each->site,
         each->facts.host,
         std::string_view(target).substr(0, target.find('?')));
-    // An entry that may hold an old site cannot tell what exists.
-    const bool valid = now < view_.site_valid_until;
+    const bool needs_key = each->site->value.has_accounts &&
+                           (each->route == nullptr ||
+                            !each->route->open_to_all);
+    if (!valid && (each->route == nullptr || needs_key))
+        return refuse(
+            each,
+            error_kind::stale_configuration,
+            "the site may be old",
+            options_.site_wait);
     if (each->route == nullptr)
-    {
-        if (!valid)
-            return refuse(
-                each, error_kind::stale_configuration, "the site may be old");
         return refuse(each, error_kind::unknown_resource, "no route fits");
-    }
-    if (each->site->value.has_accounts && !each->route->open_to_all)
+    if (needs_key)
     {
-        if (!valid)
-            return refuse(
-                each, error_kind::stale_configuration, "the site may be old");
         each->account = each->facts.key
                             ? find_account(*each->site, *each->facts.key)
                             : nullptr;
@@ -192,6 +198,37 @@
     place(each);
 }
 
+bool relay::wait_for_site(const request_ptr& each)
+{
+    const time_point now = uptime();
+    const time_point since = std::max(started_at_, view_.site_valid_until);
+    const duration patience = each->facts.patience.value_or(1s);
+    const duration longest = std::min(
+        from_seconds(to_seconds(patience) * options_.site_wait_part),
+        options_.site_wait);
+    if (now - since > options_.site_expected ||
+        now - each->began >= longest ||
+        waiting_for_site_.size() >= options_.waiting_max)
+        return false;
+    ends_.erase(each->end_entry);
+    each->ends_at = each->began + longest;
+    each->end_entry = ends_.emplace(each->ends_at, each->number);
+    waiting_for_site_.push_back(each);
+    arm();
+    return true;
+}
+
+void relay::site_confirmed()
+{
+    for (const request_ptr& each : std::exchange(waiting_for_site_, {}))
+    {
+        if (requests_.count(each->number) == 0)
+            continue;
+        each->site = view_.site;
+        begin(each);
+    }
+}
+
 bool relay::admit(const request_ptr& each)
 {
     if (each->account == nullptr || each->account->rate <= 0)
@@ -206,11 +243,11 @@
                            each->facts.output_tokens.value_or(0))
                      : account.default_tokens;
     const admission::window_bound& bound = options_.limits;
-    double allowed =
-        admission::window_total(bound, account.rate, account.burst) /
-        std::max<std::uint32_t>(view_.entries, 1);
-    if (now - started_at_ < bound.window)
-        allowed *= bound.first_window_part;
+    const double allowed = admission::share_of_entry(
+        bound,
+        admission::window_total(bound, account.rate, account.burst),
+        view_.entries,
+        now - started_at_);
     admission::window_usage& usage = view_.usage_of_limits[account.name];
     const auto wait = admission::admit(usage, bound, allowed, amount, now);
     if (!wait)
@@ -812,6 +849,9 @@
             .with("head_passed", each->head_passed ? 1 : 0),
         now);
     pool_.cancel(each->ticket);
+    waiting_for_site_.erase(
+        std::remove(waiting_for_site_.begin(), waiting_for_site_.end(), each),
+        waiting_for_site_.end());
     if (each->is_waiting)
     {
         auto& waiting = waiting_[each->service];
@@ -884,6 +924,17 @@
 
 void relay::on_time_over(const request_ptr& each)
 {
+    const auto held = std::find(
+        waiting_for_site_.begin(), waiting_for_site_.end(), each);
+    if (held != waiting_for_site_.end())
+    {
+        waiting_for_site_.erase(held);
+        return refuse(
+            each,
+            error_kind::stale_configuration,
+            "no site came in time",
+            options_.site_wait);
+    }
     if (each->is_waiting)
     {
         auto& waiting = waiting_[each->service];
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -59,6 +59,13 @@
     /// A request that is passed on arrives after so long at most; what is left
     /// of the caller's time is told less by so much.
     duration hand_on_time = 2ms;
+    /// A request waits so long for a site that is on its way: after a start,
+    /// or when the lease has just lapsed. Part of the caller's patience, and
+    /// at most.
+    double site_wait_part = 0.25;
+    duration site_wait = 1s;
+    /// After a start or a lapse, a site is taken to be on its way for so long.
+    duration site_expected = 4s;
     /// The largest answer that is held until it is whole.
     std::size_t answer_bytes = std::size_t{8} << 20;
 };
@@ -109,6 +116,10 @@
     /// The upstreams have changed: requests that wait may go.
     void upstreams_changed();
 
+    /// A site has come, or its lease was renewed: requests that wait for it
+    /// may go.
+    void site_confirmed();
+
     /// Housekeeping, a few times a second.
     void tick();
 
@@ -169,6 +180,8 @@
         std::optional<duration> come_back);
     void finish(const request_ptr& each);
 
+    /// Holds a request for a site that is on its way; false if none is.
+    bool wait_for_site(const request_ptr& each);
     void wait(const request_ptr& each);
     void send_waiting(const service_name& service);
     void arm();
@@ -195,6 +208,7 @@
     /// When the time of each request is over.
     std::multimap<time_point, std::uint64_t> ends_;
     std::map<service_name, std::deque<request_ptr>> waiting_;
+    std::deque<request_ptr> waiting_for_site_;
     relay_counters counters_;
 };
 
--- a/src/site/control_process.cpp
+++ b/src/site/control_process.cpp
@@ -28,6 +28,15 @@
 /// What was taken is answered within this; operators wait for a second.
 constexpr duration answer_time = 1s;
 
+/// Voters of one region answer each other within milliseconds, so that a lost
+/// leader is replaced within about a second. A voter that has just started
+/// waits `election_min` too, since it may have promised a lease before.
+constexpr consensus::timing replica_timing{
+    .heartbeat = 150ms,
+    .election_min = 700ms,
+    .election_max = 1200ms,
+    .lease = 550ms};
+
 class control_process
 {
 public:
@@ -87,6 +96,7 @@
     // So many that a quorum outlives the lost disks.
     options.limits.wanted_voters = 2 * settings.disks_lost_max + 1;
     options.confirm_every = 500ms;
+    options.timing = replica_timing;
     return options;
 }
 
--- a/src/site/rent_policy.cpp
+++ b/src/site/rent_policy.cpp
@@ -152,8 +152,11 @@
         // The bounds are on both markets together.
         const std::uint32_t room =
             terms.most - std::min(terms.most, std::max(held, fixed));
+        std::uint32_t others = reclaimable_each;
+        if (!settled)
+            others = std::max(others, present(directory, reclaimable));
         if (!dry && terms.reclaimable_price > 0)
-            wanted.push_back({reclaimable, std::min(reclaimable_each, room)});
+            wanted.push_back({reclaimable, std::min(others, room)});
     }
     std::vector<wanted_count> due;
     for (const wanted_count& each : wanted)
