--- a/src/admission/window_limit.cpp
+++ b/src/admission/window_limit.cpp
@@ -17,12 +17,10 @@
     return bound.window / slices_per_window;
 }
 
-void drop_over(
-    window_usage& usage, const window_bound& bound, time_point now)
+void drop_over(window_usage& usage, const window_bound& bound, time_point now)
 {
-    while (!usage.slices.empty() &&
-           now - usage.slices.front().begins >
-               bound.window + slice_length(bound))
+    while (!usage.slices.empty() && now - usage.slices.front().begins >=
+                                        bound.window + slice_length(bound))
     {
         usage.sum -= usage.slices.front().amount;
         usage.slices.pop_front();
@@ -46,8 +44,8 @@
     std::uint32_t entries,
     duration since_start)
 {
-    const double grown = bound.first_part +
-                         to_seconds(since_start) / to_seconds(bound.window);
+    const double grown =
+        bound.first_part + to_seconds(since_start) / to_seconds(bound.window);
     return total / std::max<std::uint32_t>(entries, 1) * std::min(1.0, grown);
 }
 
@@ -68,8 +66,8 @@
             if (usage.sum - freed + amount <= allowed)
                 return slice.begins + bound.window + slice_length(bound) - now;
         }
-        return usage.slices.back().begins + bound.window +
-               slice_length(bound) - now;
+        return usage.slices.back().begins + bound.window + slice_length(bound) -
+               now;
     }
     if (usage.slices.empty() ||
         now - usage.slices.back().begins >= slice_length(bound))
--- a/src/admission/window_limit.hpp
+++ b/src/admission/window_limit.hpp
@@ -33,8 +33,7 @@
 };
 
 /// What all entries together may admit in one window.
-double
-window_total(const window_bound& bound, double rate, double burst);
+double window_total(const window_bound& bound, double rate, double burst);
 
 /// The share of one of `entries` entries in `total`, for one that started so
 /// long ago.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -150,9 +150,9 @@
         *each->site,
         each->facts.host,
         std::string_view(target).substr(0, target.find('?')));
-    const bool needs_key = each->site->value.has_accounts &&
-                           (each->route == nullptr ||
-                            !each->route->open_to_all);
+    const bool needs_key =
+        each->site->value.has_accounts &&
+        (each->route == nullptr || !each->route->open_to_all);
     if (!valid && (each->route == nullptr || needs_key))
         return refuse(
             each,
@@ -206,8 +206,7 @@
     const duration longest = std::min(
         from_seconds(to_seconds(patience) * options_.site_wait_part),
         options_.site_wait);
-    if (now - since > options_.site_expected ||
-        now - each->began >= longest ||
+    if (now - since > options_.site_expected || now - each->began >= longest ||
         waiting_for_site_.size() >= options_.waiting_max)
         return false;
     ends_.erase(each->end_entry);
@@ -924,8 +923,8 @@
 
 void relay::on_time_over(const request_ptr& each)
 {
-    const auto held = std::find(
-        waiting_for_site_.begin(), waiting_for_site_.end(), each);
+    const auto held =
+        std::find(waiting_for_site_.begin(), waiting_for_site_.end(), each);
     if (held != waiting_for_site_.end())
     {
         waiting_for_site_.erase(held);
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -6,8 +6,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <condition_variable>
 #include <cstdio>
+#include <deque>
 #include <functional>
+#include <mutex>
 
 namespace bergamotusher::observe
 {
@@ -81,30 +84,90 @@
     return with(name, static_cast<double>(value.count()) / microseconds_per_ms);
 }
 
+struct decision_log::shared_queue
+{
+    std::mutex mutex;
+    std::condition_variable wake;
+    std::deque<std::string> lines;
+    std::uint64_t dropped = 0;
+    bool stopping = false;
+    bool ended = false;
+};
+
+namespace
+{
+
+/// Writes what is queued, in batches, until the queue is stopped.
+template<class Queue>
+void write_lines(Queue& queue, const std::string& node, duration gather)
+{
+    std::unique_lock lock(queue.mutex);
+    std::uint64_t told = 0;
+    for (bool last = false; !last;)
+    {
+        queue.wake.wait_for(
+            lock,
+            std::chrono::microseconds(gather),
+            [&queue] { return queue.stopping; });
+        last = queue.stopping;
+        std::string batch;
+        for (const std::string& line : queue.lines)
+            batch += line;
+        queue.lines.clear();
+        if (queue.dropped != told)
+        {
+            batch += "{\"event\":\"log_dropped\",\"node\":\"" + node +
+                     "\",\"lines\":" + std::to_string(queue.dropped - told) +
+                     "}\n";
+            told = queue.dropped;
+        }
+        lock.unlock();
+        if (!batch.empty())
+        {
+            std::fwrite(batch.data(), 1, batch.size(), stdout);
+            std::fflush(stdout);
+        }
+        lock.lock();
+    }
+    queue.ended = true;
+    queue.wake.notify_all();
+}
+
+} // namespace
+
 decision_log::decision_log(
     std::string node, std::string role, decision_log_options options)
     : node_(std::move(node))
     , role_(std::move(role))
     , options_(options)
-    , thread_([this] { run(); })
+    , queue_(std::make_shared<shared_queue>())
+    , thread_([queue = queue_, node = node_, gather = options.gather]
+              { write_lines(*queue, node, gather); })
 {
 }
 
 decision_log::~decision_log()
 {
+    bool ended = false;
     {
-        std::unique_lock lock(mutex_);
-        stopping_ = true;
-        wake_.notify_all();
-        wake_.wait_for(lock, last_write_time, [this] { return ended_; });
-        if (!ended_)
-        {
-            // Nobody reads standard output: the process ends all the same.
-            thread_.detach();
-            return;
-        }
+        std::unique_lock lock(queue_->mutex);
+        queue_->stopping = true;
+        queue_->wake.notify_all();
+        queue_->wake.wait_for(
+            lock, last_write_time, [this] { return queue_->ended; });
+        ended = queue_->ended;
     }
-    thread_.join();
+    // Where nobody reads standard output, the process ends all the same.
+    if (ended)
+        thread_.join();
+    else
+        thread_.detach();
+}
+
+std::uint64_t decision_log::dropped() const
+{
+    const std::lock_guard lock(queue_->mutex);
+    return queue_->dropped + dropped_by_rate_;
 }
 
 bool decision_log::samples(std::string_view request, time_point now)
@@ -128,7 +191,7 @@
     samples({}, now);
     if (other_lines_ >= options_.other_per_second)
     {
-        dropped_.fetch_add(1);
+        ++dropped_by_rate_;
         return;
     }
     ++other_lines_;
@@ -148,47 +211,13 @@
         ",\"uptime_us\":" +
         std::to_string(uptime().time_since_epoch().count()) + ",\"node\":\"" +
         node_ + "\",\"role\":\"" + role_ + "\"," + line.text() + "}\n";
-    const std::lock_guard lock(mutex_);
-    if (lines_.size() >= options_.queue)
+    const std::lock_guard lock(queue_->mutex);
+    if (queue_->lines.size() >= options_.queue)
     {
-        dropped_.fetch_add(1);
+        ++queue_->dropped;
         return;
     }
-    lines_.push_back(std::move(text));
-}
-
-void decision_log::run()
-{
-    std::unique_lock lock(mutex_);
-    std::uint64_t told = 0;
-    for (bool last = false; !last;)
-    {
-        wake_.wait_for(
-            lock,
-            std::chrono::microseconds(options_.gather),
-            [this] { return stopping_; });
-        last = stopping_;
-        std::string batch;
-        for (const std::string& line : lines_)
-            batch += line;
-        lines_.clear();
-        lock.unlock();
-        const std::uint64_t dropped = dropped_.load();
-        if (dropped != told)
-        {
-            batch += "{\"event\":\"log_dropped\",\"node\":\"" + node_ +
-                     "\",\"lines\":" + std::to_string(dropped - told) + "}\n";
-            told = dropped;
-        }
-        if (!batch.empty())
-        {
-            std::fwrite(batch.data(), 1, batch.size(), stdout);
-            std::fflush(stdout);
-        }
-        lock.lock();
-    }
-    ended_ = true;
-    wake_.notify_all();
+    queue_->lines.push_back(std::move(text));
 }
 
 } // namespace bergamotusher::observe
--- a/src/observe/decision_log.hpp
+++ b/src/observe/decision_log.hpp
@@ -12,11 +12,8 @@
 #include <bergamotusher/time.hpp>
 
 #include <array>
-#include <atomic>
-#include <condition_variable>
 #include <cstdint>
-#include <deque>
-#include <mutex>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -147,14 +144,15 @@
     /// Queues a line of a request for which `samples` was true.
     void write_routine(const log_line& line, time_point now);
 
-    std::uint64_t dropped() const
-    {
-        return dropped_.load();
-    }
+    /// Lines that were not written.
+    std::uint64_t dropped() const;
 
 private:
+    /// What the writing thread works on; it outlives the log if that thread
+    /// is stuck in a write.
+    struct shared_queue;
+
     void queue(const log_line& line);
-    void run();
 
     std::string node_;
     std::string role_;
@@ -164,13 +162,8 @@
     std::uint32_t other_lines_ = 0;
     /// One request in so many is sampled.
     std::uint32_t one_in_ = 1;
-    std::atomic<std::uint64_t> dropped_{0};
-
-    std::mutex mutex_;
-    std::condition_variable wake_;
-    std::deque<std::string> lines_;
-    bool stopping_ = false;
-    bool ended_ = false;
+    std::uint64_t dropped_by_rate_ = 0;
+    std::shared_ptr<shared_queue> queue_;
     std::thread thread_;
 };
 
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -402,8 +402,7 @@
     }
 }
 
-void control_service::send_report(
-    const node_id& to, std::int64_t asked_at_us)
+void control_service::send_report(const node_id& to, std::int64_t asked_at_us)
 {
     const time_point now = uptime();
     known_entry& entry = entries_[to];
--- a/src/site/rent_policy.cpp
+++ b/src/site/rent_policy.cpp
@@ -30,8 +30,8 @@
     service_demand& planned = state.demand[service];
     planned.requests +=
         options.demand_follows * (demand.requests - planned.requests);
-    planned.prompt_tokens += options.demand_follows *
-                             (demand.prompt_tokens - planned.prompt_tokens);
+    planned.prompt_tokens +=
+        options.demand_follows * (demand.prompt_tokens - planned.prompt_tokens);
     const double now_wanted = std::max(
         planned.requests / options.requests_each,
         planned.prompt_tokens / options.prompt_tokens_each);
@@ -109,9 +109,8 @@
     if (!service.renting || service.renting->prices.empty())
         return {};
     const renting_terms& terms = *service.renting;
-    const double need =
-        recent_want(options, state, service.name, demand, now) *
-        options.headroom;
+    const double need = recent_want(options, state, service.name, demand, now) *
+                        options.headroom;
     if (demand.requests > 0)
         state.demand_since.emplace(service.name, now);
     const auto since = state.demand_since.find(service.name);
@@ -126,8 +125,7 @@
             : 0;
     // What they do not carry now is carried by upstreams that stay.
     const auto needed = static_cast<std::uint32_t>(std::ceil(need));
-    const std::uint32_t carried =
-        std::min(
+    const std::uint32_t carried = std::min(
         needed, left_after_reclaim(options, directory, service.name, now));
     const std::uint32_t on_demand =
         std::max(options.on_demand_least, needed - carried);
@@ -135,8 +133,7 @@
     std::vector<wanted_count> wanted;
     for (const auto& [domain, price] : terms.prices)
     {
-        const rent_key reclaimable{
-            service.name, domain, market::reclaimable};
+        const rent_key reclaimable{service.name, domain, market::reclaimable};
         const rent_key paid{service.name, domain, market::on_demand};
         const bool dry = is_dry(state, reclaimable, now);
         const std::uint32_t held = present(directory, paid);
--- /dev/null
+++ b/tests/admission/window_limit_test.cpp
@@ -0,0 +1,102 @@
+// Limits over a sliding window, each entry by its own count.
+#include "admission/window_limit.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <vector>
+
+using namespace bergamotusher;
+using namespace bergamotusher::admission;
+
+namespace
+{
+
+constexpr time_point start{1000s};
+
+window_bound bound_of_the_operators()
+{
+    window_bound bound;
+    bound.window = 8s;
+    bound.overshoot = 0.1;
+    bound.slack = 110'000;
+    return bound;
+}
+
+} // namespace
+
+TEST_CASE("a small account's requests come in clumps and are admitted")
+{
+    // A second of this account's rate is three large requests for all four
+    // entries together; five come to one entry at once.
+    const window_bound bound = bound_of_the_operators();
+    const double share =
+        share_of_entry(bound, window_total(bound, 29'000, 29'000), 4, 1h);
+    window_usage usage;
+    for (int i = 0; i < 5; ++i)
+        CHECK_FALSE(admit(usage, bound, share, 9'400, start));
+
+    SECTION("what is above the share is told how long to wait")
+    {
+        std::optional<duration> wait;
+        while (!wait)
+            wait = admit(usage, bound, share, 9'400, start + 1s);
+        CHECK(*wait > 0s);
+        CHECK_FALSE(admit(usage, bound, share, 9'400, start + 1s + *wait));
+    }
+}
+
+TEST_CASE(
+    "an entry that has just started takes little of what it may have used")
+{
+    const window_bound bound = bound_of_the_operators();
+    CHECK(
+        share_of_entry(bound, 400'000, 4, 0s) ==
+        Approx(100'000 * bound.first_part));
+    CHECK(share_of_entry(bound, 400'000, 4, 4s) == Approx(80'000));
+    CHECK(share_of_entry(bound, 400'000, 4, 60s) == Approx(100'000));
+}
+
+TEST_CASE("one request above the whole share is admitted alone")
+{
+    window_usage usage;
+    const window_bound bound = bound_of_the_operators();
+    CHECK_FALSE(admit(usage, bound, 1'000, 5'000, start));
+    CHECK(admit(usage, bound, 1'000, 1, start + 1s));
+}
+
+TEST_CASE("no window holds more than the operators' bound, whatever is asked")
+{
+    CHECK(rc::check(
+        "sum over entries and any window",
+        []
+        {
+            const window_bound bound = bound_of_the_operators();
+            constexpr std::uint32_t entries = 4;
+            const double rate = *rc::gen::inRange(10'000, 300'000);
+            const double share = share_of_entry(
+                bound, window_total(bound, rate, rate), entries, 1h);
+            std::vector<window_usage> usages(entries);
+            std::vector<std::pair<time_point, double>> admitted;
+            time_point now = start;
+            for (int i = 0; i < 400; ++i)
+            {
+                now += std::chrono::milliseconds(*rc::gen::inRange(0, 100));
+                const double amount = *rc::gen::inRange(200, 13'000);
+                auto& usage =
+                    usages[static_cast<std::size_t>(*rc::gen::inRange(0, 4))];
+                if (!admit(usage, bound, share, amount, now))
+                    admitted.emplace_back(now, amount);
+            }
+            const double most =
+                (rate * 8 + rate) * (1 + bound.overshoot) + bound.slack;
+            for (const auto& [from, first] : admitted)
+            {
+                double sum = 0;
+                for (const auto& [at, amount] : admitted)
+                    if (at >= from && at <= from + bound.window)
+                        sum += amount;
+                RC_ASSERT(sum <= most);
+            }
+        }));
+}
--- /dev/null
+++ b/tests/base/shared_clock_test.cpp
@@ -0,0 +1,32 @@
+// True time: a clock that jumps is outvoted.
+#include "base/shared_clock.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotusher;
+
+TEST_CASE("a clock that jumps does not move the shared time")
+{
+    constexpr time_point now{1000s};
+    constexpr std::int64_t truth = 1'700'000'000'000;
+    shared_clock clock;
+    for (const char* node : {"a", "b", "c"})
+        note_clock(clock, {node}, {truth + 3}, now);
+
+    SECTION("this node's own")
+    {
+        CHECK(true_time_ms(clock, {truth - 2'400}, now) == truth + 3);
+    }
+    SECTION("one of the others")
+    {
+        note_clock(clock, {"b"}, {truth + 60'000}, now);
+        CHECK(
+            std::abs(true_time_ms(clock, {truth}, now + 1s) - truth - 1'000) <
+            1'100);
+    }
+    SECTION("samples that are old count no more")
+    {
+        CHECK(
+            true_time_ms(clock, {truth + 99'000}, now + 9s) == truth + 99'000);
+    }
+}
--- /dev/null
+++ b/tests/gateway/relay_world.cpp
@@ -0,0 +1,264 @@
+#include "gateway/relay_world.hpp"
+
+#include "base/clock.hpp"
+#include "site/sample_site.hpp"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <limits>
+
+namespace relay_world
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using boost_error = boost::system::error_code;
+
+request_facts read_request(const request_message& message)
+{
+    request_facts facts;
+    if (const auto* value = find_field(message.fields, "Attempt"))
+        facts.attempt = *value;
+    if (const auto* value = find_field(message.fields, "Host"))
+        facts.host = *value;
+    if (const auto* value = find_field(message.fields, "Key"))
+        facts.key = *value;
+    if (const auto* value = find_field(message.fields, "Patience-Ms"))
+        facts.patience =
+            std::chrono::milliseconds(parse_number(*value).value_or(0));
+    return facts;
+}
+
+answer_facts read_answer(int, const header_fields& fields)
+{
+    answer_facts facts;
+    if (const auto* value = find_field(fields, "Attempt"))
+        facts.attempt = *value;
+    facts.is_signed = find_field(fields, "Signed") != nullptr;
+    facts.not_run = find_field(fields, "Not-Run") != nullptr;
+    return facts;
+}
+
+bool passes_on(std::string_view name)
+{
+    return name != "Key";
+}
+
+void write_send(std::string& out, const send_facts& facts)
+{
+    append_field(out, "Account", facts.account.value);
+    if (facts.resume_after)
+        append_field(out, "Resume", std::to_string(*facts.resume_after));
+}
+
+void write_attempt(std::string& out, std::string_view attempt)
+{
+    append_field(out, "Attempt", attempt);
+}
+
+} // namespace
+
+dialect test_words()
+{
+    return {read_request, read_answer, passes_on, write_send, write_attempt};
+}
+
+struct scripted_upstream::session
+    : std::enable_shared_from_this<scripted_upstream::session>
+{
+    session(tcp::socket with, scripted_upstream& of)
+        : socket(std::move(with)), owner(of)
+    {
+    }
+
+    void read()
+    {
+        socket.async_read_some(
+            asio::buffer(chunk),
+            [self = shared_from_this()](boost_error error, std::size_t size)
+            {
+                if (error)
+                    return;
+                self->take(size);
+                if (self->socket.is_open())
+                    self->read();
+            });
+    }
+
+    void take(std::size_t size)
+    {
+        buffer.append(chunk.data(), size);
+        if (buffer.find("\r\n\r\n") == std::string::npos)
+            return;
+        owner.requests.push_back(std::exchange(buffer, {}));
+        std::string script;
+        if (!owner.scripts.empty())
+        {
+            script = owner.scripts.front();
+            owner.scripts.erase(owner.scripts.begin());
+        }
+        const auto mark = script.find('<');
+        const std::string then =
+            mark == std::string::npos ? "" : script.substr(mark);
+        boost_error ignored;
+        asio::write(socket, asio::buffer(script.substr(0, mark)), ignored);
+        if (then == "<reset>")
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        if (then == "<reset>" || then == "<cut>")
+            socket.close(ignored);
+    }
+
+    tcp::socket socket;
+    scripted_upstream& owner;
+    std::array<char, 4096> chunk{};
+    std::string buffer;
+};
+
+scripted_upstream::scripted_upstream(asio::io_context& loop, std::string name)
+    : id(std::move(name))
+    , loop_(loop)
+    , acceptor_(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+{
+    accept();
+}
+
+std::string scripted_upstream::address() const
+{
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+void scripted_upstream::accept()
+{
+    acceptor_.async_accept(
+        [this](boost_error error, tcp::socket socket)
+        {
+            if (error)
+                return;
+            ++connections;
+            auto made = std::make_shared<session>(std::move(socket), *this);
+            made->read();
+            sessions_.push_back(made);
+            accept();
+        });
+}
+
+world::world()
+{
+    view.site = site::make_lookup(sample::configuration());
+    view.site_valid_until = uptime() + 1h;
+    requests = std::make_unique<relay>(loop, words, relay_options{}, view, log);
+    // A free port: the server is told which.
+    tcp::acceptor probe(
+        loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    port = probe.local_endpoint().port();
+    probe.close();
+    caller_server_options options;
+    options.address = {"127.0.0.1", port};
+    callers = std::make_unique<caller_server>(
+        loop, *requests, options, [this] { return view.site->value.limits; });
+}
+
+std::unique_ptr<scripted_upstream>
+world::upstream(const std::string& id, const std::string& service)
+{
+    auto made = std::make_unique<scripted_upstream>(loop, id);
+    site::upstream value;
+    value.id = {id};
+    value.service = {service};
+    value.address = made->address();
+    value.slots = 8;
+    value.sequence = 1;
+    merge(view.directory, value, uptime());
+    requests->upstreams_changed();
+    return made;
+}
+
+bool world::run_until(const std::function<bool()>& done, duration limit)
+{
+    const time_point end = uptime() + limit;
+    while (!done())
+    {
+        if (uptime() > end)
+            return false;
+        loop.restart();
+        loop.run_for(std::chrono::milliseconds(2));
+    }
+    return true;
+}
+
+std::string world::ask(const std::string& text, duration limit)
+{
+    tcp::socket socket(loop);
+    socket.connect(tcp::endpoint(asio::ip::address_v4::loopback(), port));
+    asio::write(socket, asio::buffer(text));
+    std::string got;
+    std::array<char, 4096> chunk{};
+    bool over = false;
+    std::function<void()> read = [&]
+    {
+        socket.async_read_some(
+            asio::buffer(chunk),
+            [&](boost_error error, std::size_t size)
+            {
+                got.append(chunk.data(), size);
+                if (error)
+                {
+                    if (error != asio::error::operation_aborted)
+                        got += "<closed>";
+                    over = true;
+                    return;
+                }
+                answer_parser parser;
+                parser.eager(true);
+                parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+                std::string copy = got;
+                boost::beast::error_code ignored;
+                over = feed(parser, copy, ignored) == parse_outcome::done;
+                if (!over)
+                    read();
+            });
+    };
+    read();
+    run_until([&] { return over; }, limit);
+    boost_error ignored;
+    socket.close(ignored);
+    loop.restart();
+    loop.poll();
+    return got;
+}
+
+std::string
+request(const std::string& method, const std::string& path, int attempt)
+{
+    return method + " " + path +
+           " HTTP/1.1\r\nHost: shop.example\r\nKey: key-1\r\nAttempt: " +
+           std::to_string(attempt) + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string answer(int status, const std::string& body, int attempt)
+{
+    return "HTTP/1.1 " + std::to_string(status) +
+           " X\r\nSigned: yes\r\nAttempt: " + std::to_string(attempt) +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+std::string stream_head(int attempt)
+{
+    return "HTTP/1.1 200 OK\r\nSigned: yes\r\nAttempt: " +
+           std::to_string(attempt) + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string event(int id)
+{
+    std::string chunk;
+    append_chunk(chunk, "id: " + std::to_string(id) + "\ndata: x\n\n");
+    return chunk;
+}
+
+} // namespace relay_world
--- /dev/null
+++ b/tests/observe/decision_log_test.cpp
@@ -0,0 +1,122 @@
+// Log lines: one object a line, bounded, and never in a request's way.
+#include "base/clock.hpp"
+#include "observe/decision_log.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <unistd.h>
+
+using namespace bergamotusher;
+using namespace bergamotusher::observe;
+
+namespace
+{
+
+/// Standard output goes into a pipe while it lives.
+struct captured_output
+{
+    int saved = -1;
+    int reading = -1;
+
+    captured_output()
+    {
+        std::fflush(stdout);
+        int ends[2] = {-1, -1};
+        REQUIRE(::pipe(ends) == 0);
+        saved = ::dup(STDOUT_FILENO);
+        ::dup2(ends[1], STDOUT_FILENO);
+        ::close(ends[1]);
+        reading = ends[0];
+    }
+    ~captured_output()
+    {
+        ::dup2(saved, STDOUT_FILENO);
+        ::close(saved);
+        ::close(reading);
+    }
+    std::string text()
+    {
+        std::string all;
+        char chunk[4096];
+        std::fflush(stdout);
+        ::dup2(saved, STDOUT_FILENO);
+        for (ssize_t size = 0;
+             (size = ::read(reading, chunk, sizeof(chunk))) > 0;)
+            all.append(chunk, static_cast<std::size_t>(size));
+        return all;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a line is one JSON object with its inputs")
+{
+    std::string text;
+    {
+        captured_output output;
+        {
+            decision_log log("n1", "entry", {});
+            log.write(
+                log_line(decision::request_refused)
+                    .with("request", "a\"b\n\xff")
+                    .with("age_ms", duration(1500us))
+                    .with("attempts", 2),
+                uptime());
+        }
+        text = output.text();
+    }
+    const auto line = nlohmann::json::parse(text);
+    CHECK(line.at("event") == "request_refused");
+    CHECK(line.at("node") == "n1");
+    CHECK(line.at("age_ms") == 1.5);
+    CHECK(line.at("attempts") == 2);
+}
+
+TEST_CASE("a reader that does not read delays nobody")
+{
+    captured_output output;
+    const time_point began = uptime();
+    {
+        decision_log_options options;
+        options.other_per_second = 1'000'000;
+        options.queue = 100;
+        options.gather = 1ms;
+        decision_log log("n1", "entry", options);
+        const std::string filler(1000, 'x');
+        for (int i = 0; i < 20'000; ++i)
+            log.write(
+                log_line(decision::request_failed).with("filler", filler),
+                uptime());
+        CHECK(uptime() - began < 2s);
+        CHECK(log.dropped() > 0);
+    }
+    // Ending does not wait for the reader either.
+    CHECK(uptime() - began < 4s);
+}
+
+TEST_CASE("requests are sampled whole once a rate is passed")
+{
+    decision_log_options options;
+    options.routine_per_second = 10;
+    decision_log log("n1", "entry", options);
+    time_point now{1000s};
+    int lines = 0;
+    for (int second = 0; second < 5; ++second)
+    {
+        lines = 0;
+        for (int i = 0; i < 1000; ++i)
+        {
+            const std::string id = std::to_string(second * 1000 + i);
+            if (!log.samples(id, now))
+                continue;
+            CHECK(log.samples(id, now));
+            ++lines;
+            log.write_routine(
+                log_line(decision::request_finished).with("request", id), now);
+        }
+        now += 1s;
+    }
+    CHECK(lines < 40);
+    CHECK(lines > 0);
+}
--- /dev/null
+++ b/tests/platform/header_words_test.cpp
@@ -0,0 +1,99 @@
+// The platform's header fields, both ways.
+#include "header_words.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotusher;
+using namespace bergamotusher::gateway;
+
+namespace
+{
+
+const dialect words = platform::header_words();
+
+request_message with(const header_fields& fields)
+{
+    request_message message;
+    message.fields = fields;
+    return message;
+}
+
+} // namespace
+
+TEST_CASE("a request's facts are read from its fields")
+{
+    const request_facts facts = words.read_request(with(
+        {{"Host", "a.example"},
+         {"bergamotusher-attempt-id", "9c41"},
+         {"Bergamotusher-Deadline-Ms", "8000"},
+         {"Bergamotusher-Token-Usage", "1460,80"},
+         {"Bergamotusher-Prefix-Hash", "5c1e:800, 91bd:410"},
+         {"Authorization", "bearer k1"},
+         {"Last-Event-Id", "12"}}));
+    CHECK(facts.attempt == "9c41");
+    CHECK(facts.patience == duration(8s));
+    CHECK(facts.prompt_tokens == 1460);
+    CHECK(facts.output_tokens == 80);
+    REQUIRE(facts.parts.size() == 2);
+    CHECK(facts.parts[0].id == 0x5c1e);
+    CHECK(facts.parts[1].tokens == 410);
+    CHECK(facts.key == "k1");
+    CHECK(facts.resume_after == 12);
+}
+
+TEST_CASE("fields that cannot be read say nothing")
+{
+    const request_facts facts = words.read_request(with(
+        {{"Bergamotusher-Deadline-Ms", "soon"},
+         {"Bergamotusher-Token-Usage", "many"},
+         {"Bergamotusher-Prefix-Hash", "5c1e:800,nothing"},
+         {"Authorization", "Basic k1"}}));
+    CHECK_FALSE(facts.patience);
+    CHECK_FALSE(facts.prompt_tokens);
+    CHECK(facts.parts.empty());
+    CHECK_FALSE(facts.key);
+}
+
+TEST_CASE("fields that are the system's to set do not pass from a caller")
+{
+    for (const char* name :
+         {"Authorization",
+          "bergamotusher-tenant",
+          "Bergamotusher-Retention",
+          "Kv-From",
+          "Bergamotusher-Expect-Instance"})
+        CHECK_FALSE(words.passes_on(name));
+    CHECK(words.passes_on("Bergamotusher-Model"));
+    CHECK(words.passes_on("Bergamotusher-Attempt-Id"));
+    std::string out;
+    words.write_send(out, {1500ms, {"i-1"}, {"acme"}, 7});
+    CHECK(
+        out == "Bergamotusher-Deadline-Ms: 1500\r\n"
+               "Bergamotusher-Expect-Instance: i-1\r\n"
+               "Bergamotusher-Tenant: acme\r\nLast-Event-Id: 7\r\n");
+}
+
+TEST_CASE("an answer's facts are read from its fields")
+{
+    const answer_facts facts = words.read_answer(
+        200,
+        {{"Bergamotusher-Server-Seal", "3e1b"},
+         {"Bergamotusher-Server-Load", "3,0,8"},
+         {"Keep-Alive", "timeout=5, max=100"},
+         {"Connection", "keep-alive, close"}});
+    CHECK(facts.is_signed);
+    CHECK_FALSE(facts.not_run);
+    REQUIRE(facts.upstream_load);
+    CHECK(facts.upstream_load->running == 3);
+    CHECK(facts.upstream_load->slots == 8);
+    CHECK(facts.idle_time == duration(5s));
+    CHECK(facts.closes);
+
+    SECTION("a misdirected request has not run")
+    {
+        CHECK(words.read_answer(421, {}).not_run);
+        CHECK(words.read_answer(503, {{"Bergamotusher-Not-Executed", "1"}})
+                  .not_run);
+        CHECK_FALSE(words.read_answer(503, {}).not_run);
+    }
+}
--- /dev/null
+++ b/tests/platform/site_json_test.cpp
@@ -0,0 +1,159 @@
+// The platform's JSON bodies, both ways, good and bad.
+#include "boot_settings.hpp"
+#include "site_json.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace bergamotusher;
+using namespace bergamotusher::platform;
+
+namespace
+{
+
+const std::string good =
+    R"({"version":7,"routes":[{"name":"r1","host":"a.example",)"
+    R"("pathPrefix":"/x/","type":"streaming","timeoutMs":4000,)"
+    R"("targetLatencyMs":600,"priority":0,"service":"s1","maxAttempts":2,)"
+    R"("public":false,"sticky":true,"resumable":true,"itlTargetMs":250},)"
+    R"({"name":"r2","host":"a.example","pathPrefix":"/y/","type":"unsafe",)"
+    R"("timeoutMs":1500,"weightedServices":[{"service":"s1","weight":90},)"
+    R"({"service":"s2","weight":10}]}],"services":[{"name":"s1",)"
+    R"("healthPath":"/h","maxConnections":370,"engine":{"slots":64,)"
+    R"("kvCapacity":1000,"stride":3},"autoscaling":{"minReplicas":1,)"
+    R"("maxReplicas":12,"bootS":4.0,"spotPrice":0.2,)"
+    R"("zonePrices":{"z1":0.85}}},{"name":"s2"}],)"
+    R"("limits":{"maxHeaderBytes":100,"maxBodyBytes":200,)"
+    R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},)"
+    R"("tenants":[{"name":"t1","apiKeys":["k1"],"priority":1,)"
+    R"("unit":"token","uncachedTokens":200,"ratePerS":10,"burst":20}]})";
+
+} // namespace
+
+TEST_CASE("a whole configuration is read under our names")
+{
+    const auto parsed = parse_configuration(good);
+    REQUIRE(std::holds_alternative<site::configuration>(parsed));
+    const auto& value = std::get<site::configuration>(parsed);
+    CHECK_FALSE(site::check(value));
+    CHECK(value.version == 7);
+    CHECK(value.routes[0].kind == site::route_kind::stream);
+    CHECK(value.routes[0].target_pause == duration(250ms));
+    CHECK(value.routes[0].resumable);
+    CHECK(value.routes[1].services[1].weight == 10);
+    CHECK(value.services[0].engine->tokens_per_event == 3);
+    CHECK(value.services[0].renting->prices.at({"z1"}) == Approx(0.85));
+    CHECK(value.limits.idle_time == duration(15s));
+    CHECK(value.accounts[0].counts_tokens);
+    CHECK(value.accounts[0].burst == 20);
+}
+
+TEST_CASE("a configuration that cannot be read whole is invalid")
+{
+    SECTION("wherever it is cut short")
+    {
+        CHECK(rc::check(
+            "cut",
+            []
+            {
+                const auto size =
+                    *rc::gen::inRange<std::size_t>(0, good.size());
+                RC_ASSERT(std::holds_alternative<failure>(
+                    parse_configuration(good.substr(0, size))));
+            }));
+    }
+    SECTION("with a field of another type, which is named")
+    {
+        std::string bad = good;
+        bad.replace(bad.find("4000"), 4, "\"4 s\"");
+        const auto parsed = parse_configuration(bad);
+        REQUIRE(std::holds_alternative<failure>(parsed));
+        CHECK(
+            std::get<failure>(parsed).detail.find("timeoutMs") !=
+            std::string::npos);
+    }
+}
+
+TEST_CASE("an announcement is read, and one of another writer names nobody")
+{
+    const std::string text =
+        R"({"service":"s1","address":"10.0.0.9:80","zone":"z1",)"
+        R"("version":"v1","slots":64,"state":"draining",)"
+        R"("coldRemainingMs":0,"sequence":4,"born":1700000000000,)"
+        R"("spotEnabled":true,"leaves_ms":2400})";
+    const auto news = parse_announcement("i-1", text);
+    REQUIRE(news);
+    CHECK(news->state == site::upstream_state::draining);
+    CHECK(news->started_ms == 1'700'000'000'000);
+    CHECK(news->reclaimable);
+    CHECK(news->leaves_in == duration(2400ms));
+    for (const auto& [from, to] :
+         std::vector<std::pair<std::string, std::string>>{
+             {"\"draining\"", "\"asleep\""},
+             {"\"sequence\":4", "\"sequence\":\"4\""},
+             {"\"service\":\"s1\",", ""},
+             {"}", ""}})
+    {
+        std::string bad = text;
+        bad.replace(bad.find(from), from.size(), to);
+        CHECK_FALSE(parse_announcement("i-1", bad));
+    }
+}
+
+TEST_CASE("bytes of any kind never stop a parser")
+{
+    CHECK(rc::check(
+        "any bytes",
+        [](const std::string& bytes)
+        {
+            parse_configuration(bytes);
+            parse_announcement("i-1", bytes);
+            parse_departure(bytes);
+            parse_move_order(bytes);
+            parse_boot_settings(bytes);
+        }));
+}
+
+TEST_CASE("orders to the platform bear its names")
+{
+    CHECK(
+        write_usage({42, {{{"t1"}, 7}}}) ==
+        R"({"counts":{"t1":7},"windowId":42})");
+    CHECK(
+        write_rent("s1", "z1", 3, true) ==
+        R"({"desiredCount":3,"service":"s1","spotEnabled":true,"zone":"z1"})");
+    CHECK(
+        write_rent("s1", "z1", 3, false) ==
+        R"({"desiredCount":3,"service":"s1","zone":"z1"})");
+    CHECK(
+        write_entries({"10.1.0.14:80"}, 2) ==
+        R"({"addresses":["10.1.0.14:80"],"ttlS":2.0})");
+}
+
+TEST_CASE("the settings file of a process is read under our names")
+{
+    const std::string text =
+        R"({"nodeName":"edge-1","serves":["edge"],"ip":"10.1.0.14",)"
+        R"("zone":"z1","listen":{"frontend":"10.1.0.14:8221",)"
+        R"("readiness":"10.1.0.14:8224"},"internalPorts":[7600,7615],)"
+        R"("seedNodes":["10.1.0.16:8229"],"bootstrap":true,)"
+        R"("bounds":{"graceS":8,"revokeMs":5000,"retryMinExtra":58}})";
+    const auto read = parse_boot_settings(text);
+    REQUIRE(std::holds_alternative<boot_settings>(read));
+    const auto& boot = std::get<boot_settings>(read);
+    CHECK(boot.is_entry);
+    CHECK(boot.entry.seeds[0].value == "10.1.0.16:7600");
+    CHECK(boot.entry.site_lease < duration(5s));
+    CHECK(boot.entry.retries.extra == 58);
+
+    SECTION("a control node needs a data folder")
+    {
+        std::string control = text;
+        control.replace(control.find("[\"edge\"]"), 8, "[\"controller\"]");
+        const auto wrong = parse_boot_settings(control);
+        REQUIRE(std::holds_alternative<failure>(wrong));
+        CHECK(
+            std::get<failure>(wrong).detail.find("dataDir") !=
+            std::string::npos);
+    }
+}
