--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -5,12 +5,13 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <condition_variable>
-#include <cstdio>
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <unistd.h>
 
 namespace bergamotusher::observe
 {
@@ -97,9 +98,25 @@
 namespace
 {
 
+/// Writes all of `text`; what cannot be written is given up, since there is no
+/// other place to say so.
+void write_out(int output, std::string_view text)
+{
+    while (!text.empty())
+    {
+        const ssize_t size = ::write(output, text.data(), text.size());
+        if (size < 0 && errno == EINTR)
+            continue;
+        if (size <= 0)
+            return;
+        text.remove_prefix(static_cast<std::size_t>(size));
+    }
+}
+
 /// Writes what is queued, in batches, until the queue is stopped.
 template<class Queue>
-void write_lines(Queue& queue, const std::string& node, duration gather)
+void write_lines(
+    Queue& queue, const std::string& node, duration gather, int output)
 {
     std::unique_lock lock(queue.mutex);
     std::uint64_t told = 0;
@@ -122,11 +139,7 @@
             told = queue.dropped;
         }
         lock.unlock();
-        if (!batch.empty())
-        {
-            std::fwrite(batch.data(), 1, batch.size(), stdout);
-            std::fflush(stdout);
-        }
+        write_out(output, batch);
         lock.lock();
     }
     queue.ended = true;
@@ -141,8 +154,8 @@
     , role_(std::move(role))
     , options_(options)
     , queue_(std::make_shared<shared_queue>())
-    , thread_([queue = queue_, node = node_, gather = options.gather]
-              { write_lines(*queue, node, gather); })
+    , thread_([queue = queue_, node = node_, options]
+              { write_lines(*queue, node, options.gather, options.output); })
 {
 }
 
--- a/src/observe/decision_log.hpp
+++ b/src/observe/decision_log.hpp
@@ -124,6 +124,8 @@
     std::uint32_t other_per_second = 300;
     /// The writer gathers lines for so long, to write them together.
     duration gather = 250ms;
+    /// File descriptor that is written to: standard output.
+    int output = 1;
 };
 
 class decision_log
--- a/tests/observe/decision_log_test.cpp
+++ b/tests/observe/decision_log_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <csignal>
 #include <unistd.h>
 
 using namespace bergamotusher;
@@ -13,60 +14,47 @@
 namespace
 {
 
-/// Standard output goes into a pipe while it lives.
-struct captured_output
+/// A pipe that a log writes into.
+struct pipe_ends
 {
-    int saved = -1;
     int reading = -1;
+    int writing = -1;
 
-    captured_output()
+    pipe_ends()
     {
-        std::fflush(stdout);
         int ends[2] = {-1, -1};
         REQUIRE(::pipe(ends) == 0);
-        saved = ::dup(STDOUT_FILENO);
-        ::dup2(ends[1], STDOUT_FILENO);
-        ::close(ends[1]);
         reading = ends[0];
+        writing = ends[1];
     }
-    ~captured_output()
+    ~pipe_ends()
     {
-        ::dup2(saved, STDOUT_FILENO);
-        ::close(saved);
+        ::close(writing);
         ::close(reading);
     }
-    std::string text()
-    {
-        std::string all;
-        char chunk[4096];
-        std::fflush(stdout);
-        ::dup2(saved, STDOUT_FILENO);
-        for (ssize_t size = 0;
-             (size = ::read(reading, chunk, sizeof(chunk))) > 0;)
-            all.append(chunk, static_cast<std::size_t>(size));
-        return all;
-    }
 };
 
 } // namespace
 
 TEST_CASE("a line is one JSON object with its inputs")
 {
-    std::string text;
+    pipe_ends pipe;
     {
-        captured_output output;
-        {
-            decision_log log("n1", "entry", {});
-            log.write(
-                log_line(decision::request_refused)
-                    .with("request", "a\"b\n\xff")
-                    .with("age_ms", duration(1500us))
-                    .with("attempts", 2),
-                uptime());
-        }
-        text = output.text();
+        decision_log_options options;
+        options.output = pipe.writing;
+        decision_log log("n1", "entry", options);
+        log.write(
+            log_line(decision::request_refused)
+                .with("request", "a\"b\n\xff")
+                .with("age_ms", duration(1500us))
+                .with("attempts", 2),
+            uptime());
     }
-    const auto line = nlohmann::json::parse(text);
+    char text[4096];
+    const ssize_t size = ::read(pipe.reading, text, sizeof(text));
+    REQUIRE(size > 0);
+    const auto line = nlohmann::json::parse(
+        std::string(text, static_cast<std::size_t>(size)));
     CHECK(line.at("event") == "request_refused");
     CHECK(line.at("node") == "n1");
     CHECK(line.at("age_ms") == 1.5);
@@ -75,13 +63,15 @@
 
 TEST_CASE("a reader that does not read delays nobody")
 {
-    captured_output output;
+    std::signal(SIGPIPE, SIG_IGN);
+    pipe_ends pipe;
     const time_point began = uptime();
     {
         decision_log_options options;
         options.other_per_second = 1'000'000;
         options.queue = 100;
         options.gather = 1ms;
+        options.output = pipe.writing;
         decision_log log("n1", "entry", options);
         const std::string filler(1000, 'x');
         for (int i = 0; i < 20'000; ++i)
