A draining entry ends only once its answers were taken

Ruled out: the upstream (its run ended well 4 ms before). The entry now also waits until no caller's connection is left. The test shows a request that is finished while its answer is not taken.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -420,6 +420,11 @@
             each->close();
 }
 
+bool caller_server::quiet() const
+{
+    return state_->sessions.empty();
+}
+
 void caller_server::tick()
 {
     const time_point now = uptime();
--- a/src/gateway/caller_server.hpp
+++ b/src/gateway/caller_server.hpp
@@ -53,6 +53,9 @@
     void close_after_answers();
     /// Takes no more connections and closes those without a request.
     void stop_accepting();
+    /// True once every answer has been taken by its caller and no connection
+    /// is left; before that, ending the process would cut answers.
+    bool quiet() const;
     /// Closes connections whose time to send is over; call it a few times a
     /// second.
     void tick();
--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -271,7 +271,8 @@
         callers_.stop_accepting();
     }
     const bool over = passed > settings_.grace - last_moment;
-    if (over || (stopped_taking_ && relay_.under_way() == 0))
+    if (over ||
+        (stopped_taking_ && relay_.under_way() == 0 && callers_.quiet()))
         loop_.stop();
 }
 
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -3,8 +3,11 @@
 #include "base/clock.hpp"
 #include "gateway/relay_world.hpp"
 
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <array>
+
 using namespace relay_world;
 
 namespace
@@ -237,6 +240,42 @@
     }
 }
 
+TEST_CASE("an entry that drains is not quiet before its answers are taken")
+{
+    world entry;
+    const auto desk = entry.upstream("u1", "desk");
+    // More than the kernel takes at once.
+    const std::string large(std::size_t{3} << 20, 'x');
+    desk->scripts = {answer(200, large)};
+    entry.callers->close_after_answers();
+    boost::asio::ip::tcp::socket caller(entry.loop);
+    caller.connect({boost::asio::ip::address_v4::loopback(), entry.port});
+    boost::asio::write(
+        caller, boost::asio::buffer(request("POST", "/order/1")));
+    REQUIRE(entry.run_until(
+        [&] { return entry.requests->counters().answered == 1; }));
+    CHECK(entry.requests->under_way() == 0);
+    CHECK_FALSE(entry.callers->quiet());
+    std::string got;
+    std::array<char, 65536> chunk{};
+    std::function<void()> read = [&]
+    {
+        caller.async_read_some(
+            boost::asio::buffer(chunk),
+            [&](const boost::system::error_code& error, std::size_t size)
+            {
+                got.append(chunk.data(), size);
+                if (!error)
+                    return read();
+                boost::system::error_code ignored;
+                caller.close(ignored);
+            });
+    };
+    read();
+    CHECK(entry.run_until([&] { return entry.callers->quiet(); }));
+    CHECK(got.size() > large.size());
+}
+
 TEST_CASE("a caller that leaves takes its request along")
 {
     world entry;
--- a/tests/gateway/relay_world.cpp
+++ b/tests/gateway/relay_world.cpp
@@ -105,16 +105,24 @@
         const auto mark = script.find('<');
         const std::string then =
             mark == std::string::npos ? "" : script.substr(mark);
-        boost_error ignored;
-        asio::write(socket, asio::buffer(script.substr(0, mark)), ignored);
-        if (then == "<reset>")
-            socket.set_option(asio::socket_base::linger(true, 0), ignored);
-        if (then == "<reset>" || then == "<cut>")
-            socket.close(ignored);
+        answer = script.substr(0, mark);
+        asio::async_write(
+            socket,
+            asio::buffer(answer),
+            [self = shared_from_this(), then](boost_error, std::size_t)
+            {
+                boost_error ignored;
+                if (then == "<reset>")
+                    self->socket.set_option(
+                        asio::socket_base::linger(true, 0), ignored);
+                if (then == "<reset>" || then == "<cut>")
+                    self->socket.close(ignored);
+            });
     }
 
     tcp::socket socket;
     scripted_upstream& owner;
+    std::string answer;
     std::array<char, 4096> chunk{};
     std::string buffer;
 };
