--- a/src/site/rent_policy.cpp
+++ b/src/site/rent_policy.cpp
@@ -27,7 +27,11 @@
             wanted.end(),
             [&](const auto& each) { return each.first <= now; }),
         wanted.end());
-    service_demand& planned = state.demand[service];
+    // The first demand that a new leader hears of is the demand, not a rise.
+    service_demand& planned =
+        state.demand.emplace(service, demand).first->second;
+    if (planned.requests <= 0)
+        planned = demand;
     planned.requests +=
         options.demand_follows * (demand.requests - planned.requests);
     planned.prompt_tokens +=
--- a/src/site/rent_policy.hpp
+++ b/src/site/rent_policy.hpp
@@ -56,7 +56,7 @@
     /// waves, and what is given back takes its caches along.
     duration memory = 12s;
     /// Nothing is given back before the demand was seen for so long.
-    duration settle = 5s;
+    duration settle = 7s;
     /// Reclaimable upstreams must have served for so long before others are
     /// given back in their place: they tend to come back and go again.
     duration trust = 4s;
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -105,6 +105,15 @@
             note_failure({}, *first, now);
         CHECK(world.placed(dossier) != first);
     }
+    SECTION("whose first tokens are late, or still missing")
+    {
+        note_lateness({}, *first, 600, false, now);
+        CHECK(world.placed(dossier) != first);
+        // A first token in time speaks for it again, little by little.
+        for (int i = 0; i < 6; ++i)
+            note_lateness({}, *first, 0, true, now);
+        CHECK(world.placed(dossier) == first);
+    }
     SECTION("that nobody has heard from, unless there is no other")
     {
         first->is_silent = true;
--- a/tests/site/rent_policy_test.cpp
+++ b/tests/site/rent_policy_test.cpp
@@ -189,6 +189,14 @@
         world.run(4s, calm);
         CHECK(world.carried() >= before);
     }
+    SECTION("a new leader plans for the first demand that it hears of")
+    {
+        world.run(40s, calm);
+        const auto reclaimable = world.count(market::reclaimable);
+        world.state = {};
+        world.run(10s, calm);
+        CHECK(world.count(market::reclaimable) >= reclaimable);
+    }
 }
 
 TEST_CASE("a service without terms is not rented for")
