--- a/src/site/rent_policy.cpp
+++ b/src/site/rent_policy.cpp
@@ -129,7 +129,7 @@
             : 0;
     // What they do not carry now is carried by upstreams that stay.
     const auto needed =
-        static_cast<std::uint32_t>(std::ceil(need * options.scarce_part));
+        static_cast<std::uint32_t>(std::ceil(need / options.headroom));
     const std::uint32_t carried = std::min(
         needed, left_after_reclaim(options, directory, service.name, now));
     const std::uint32_t on_demand =
--- a/src/site/rent_policy.hpp
+++ b/src/site/rent_policy.hpp
@@ -42,12 +42,10 @@
     /// Prompt tokens a second that one upstream reads within target: about
     /// half of the 22,000 that it reads beside other requests' tokens.
     double prompt_tokens_each = 13000;
-    /// Part of the upstreams wanted that are paid by the second where no
-    /// others are to be had: they cost five times as much.
-    double scarce_part = 0.65;
     /// Upstreams of each service that no reclaim can take.
     std::uint32_t on_demand_least = 2;
-    /// Upstreams wanted beyond the demand.
+    /// Upstreams wanted beyond the demand, as long as cheap ones are to be
+    /// had.
     double headroom = 1.25;
     /// How fast the demand that is planned for follows what is reported: part
     /// of the difference that is taken over with each round.
