--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -405,7 +405,7 @@
     auto& idle = state_->idle[request.address];
     while (!idle.empty())
     {
-        const ticket last = idle.back();
+        ticket last = idle.back();
         idle.pop_back();
         // Half of the time that is left to the others: what breaks on a kept
         // connection may have run.
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -137,8 +137,10 @@
 
     // Operators. The callback gets nothing if it is not known whether the
     // change holds.
-    void
-    replace(std::uint64_t version, std::string content, change_callback done);
+    void replace(
+        std::uint64_t version,
+        const std::string& content,
+        change_callback done);
     void start_move(
         const service_name& service,
         const version_name& target,
--- a/tests/site/upstream_directory_test.cpp
+++ b/tests/site/upstream_directory_test.cpp
@@ -100,6 +100,7 @@
         []
         {
             std::vector<upstream> news;
+            news.reserve(12);
             const auto count = *rc::gen::inRange(1, 12);
             for (int i = 0; i < count; ++i)
                 news.push_back(announcement(
