--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -24,8 +24,6 @@
 constexpr duration tick_interval = 250ms;
 /// Between two tellings of what was heard of unchanged upstreams.
 constexpr duration refresh_interval = 1s;
-/// Between two whole directories to one entry.
-constexpr duration directory_interval = 2s;
 /// An entry counts among those that share limits for so long.
 constexpr duration entry_shares_for = 10s;
 constexpr std::size_t peers_ring = 4096;
@@ -369,15 +367,10 @@
                 each.prompt_rate()};
     }
     send_report(message.from, report.asked_at_us());
-    if (report.directory_digest() != directory_.digest &&
-        now - entry.directory_sent_at > directory_interval)
-    {
-        entry.directory_sent_at = now;
-        send(
-            message.from,
-            wire::site_directory,
-            encode_directory(all(directory_)));
-    }
+    const auto news = news_for(
+        directory_, report.directory_digest(), entry.directory_sent_at, now);
+    if (!news.empty())
+        send(message.from, wire::site_directory, encode_directory(news));
 }
 
 void control_service::send_report(const node_id& to, std::int64_t asked_at_us)
--- a/src/site/upstream_directory.cpp
+++ b/src/site/upstream_directory.cpp
@@ -116,6 +116,26 @@
     return found;
 }
 
+std::vector<upstream> news_for(
+    const upstream_directory& directory,
+    std::uint64_t digest,
+    time_point& sent_whole_at,
+    time_point now)
+{
+    if (digest == directory.digest)
+        return {};
+    if (now - sent_whole_at > whole_directory_interval)
+    {
+        sent_whole_at = now;
+        return all(directory);
+    }
+    std::vector<upstream> recent;
+    for (const auto& [id, each] : directory.upstreams)
+        if (now - each.changed_at < recent_change)
+            recent.push_back(each.value);
+    return recent;
+}
+
 std::vector<upstream> all(const upstream_directory& directory)
 {
     std::vector<upstream> values;
--- a/src/site/upstream_directory.hpp
+++ b/src/site/upstream_directory.hpp
@@ -116,4 +116,19 @@
 /// All announcements.
 std::vector<upstream> all(const upstream_directory& directory);
 
+/// A whole directory is sent to one entry at most this often.
+inline constexpr duration whole_directory_interval = 2s;
+/// What changed within this time is sent again with each report of an entry
+/// whose directory differs: the message that told it first may be lost, as to
+/// a peer that is not connected yet, and a drain must be known within 2 s.
+inline constexpr duration recent_change = 6s;
+
+/// What an entry is to be told that reports `digest` and was sent a whole
+/// directory at `sent_whole_at`; nothing if it has the same directory.
+std::vector<upstream> news_for(
+    const upstream_directory& directory,
+    std::uint64_t digest,
+    time_point& sent_whole_at,
+    time_point now);
+
 } // namespace bergamotusher::site
--- a/tests/site/upstream_directory_test.cpp
+++ b/tests/site/upstream_directory_test.cpp
@@ -93,6 +93,34 @@
     }
 }
 
+TEST_CASE("an entry that missed a drain hears of it with its next report")
+{
+    upstream_directory directory;
+    merge(directory, announcement("a", 10, 1), start);
+    merge(directory, announcement("b", 10, 1), start);
+    const std::uint64_t before = directory.digest;
+    time_point sent_whole_at = start + 100s;
+    const time_point now = start + 100s + 300ms;
+    // The message that told of it was lost; a whole directory was sent right
+    // before.
+    merge(directory, announcement("a", 10, 2, upstream_state::draining), now);
+    const auto news = news_for(directory, before, sent_whole_at, now + 400ms);
+    REQUIRE(news.size() == 1);
+    CHECK(news[0].id.value == "a");
+    CHECK(news[0].state == upstream_state::draining);
+
+    SECTION("and of everything once a while has passed")
+    {
+        CHECK(news_for(directory, before, sent_whole_at, now + 3s).size() == 2);
+        CHECK(sent_whole_at == now + 3s);
+    }
+    SECTION("and of nothing once it has the same directory")
+    {
+        CHECK(
+            news_for(directory, directory.digest, sent_whole_at, now).empty());
+    }
+}
+
 TEST_CASE("announcements in any order lead to the same directory")
 {
     CHECK(rc::check(
