Place prompts by their subject; share limits by use; one usage window

Cause of advice being late beside idle upstreams: the order of holders was taken from the first part of a prompt, which only four kinds of prompt share, so that all advice wanted the same eight upstreams; and a draining upstream stayed a holder. The order now follows the last shared part (the subject), among upstreams that take requests. Parts before it are believed to be kept by how often they are asked for, so that 27 entries need not have sent them themselves. Ruled out: copying a prompt's memory from its holder (header Kv-Fetch). It is not in this code.

An equal part of a limit is too small on many entries: a small account's part of one of 27 is 1.3 large requests. Entries tell the leader what they admitted within the window; it tells each what it may have admitted until its next report. Without word from the leader an entry keeps to its equal part.

Entries counted windows of 5,000 ms whatever the setting said; the length now comes from the one setting that the control nodes use.

Dead code removed: members_seen, output_tokens. Hashing moved to src/base.

--- a/src/admission/window_limit.cpp
+++ b/src/admission/window_limit.cpp
@@ -49,25 +49,37 @@
     return total / std::max<std::uint32_t>(entries, 1) * std::min(1.0, grown);
 }
 
+double
+admitted_within(window_usage& usage, const window_bound& bound, time_point now)
+{
+    drop_over(usage, bound, now);
+    return usage.sum;
+}
+
 std::optional<duration> admit(
     window_usage& usage,
     const window_bound& bound,
     double allowed,
     double amount,
-    time_point now)
+    time_point now,
+    large_amount large)
 {
     drop_over(usage, bound, now);
-    if (usage.sum + amount > allowed && usage.sum > 0)
+    const bool alone = usage.sum <= 0 && large == large_amount::admitted_alone;
+    if (usage.sum + amount > allowed && !alone)
     {
+        // Others may hold what is missing; a slice of the window sets some of
+        // theirs free too.
+        duration wait = slice_length(bound);
         double freed = 0;
         for (const auto& slice : usage.slices)
         {
             freed += slice.amount;
+            wait = slice.begins + bound.window + slice_length(bound) - now;
             if (usage.sum - freed + amount <= allowed)
-                return slice.begins + bound.window + slice_length(bound) - now;
+                break;
         }
-        return usage.slices.back().begins + bound.window + slice_length(bound) -
-               now;
+        return wait;
     }
     if (usage.slices.empty() ||
         now - usage.slices.back().begins >= slice_length(bound))
--- a/src/admission/window_limit.hpp
+++ b/src/admission/window_limit.hpp
@@ -55,14 +55,26 @@
     double sum = 0;
 };
 
+/// What is done with an amount above the whole `allowed`.
+enum class large_amount
+{
+    /// Admitted if nothing else was: it would never fit otherwise.
+    admitted_alone,
+    refused
+};
+
 /// Admits `amount` if what the entry admitted in the window stays within
-/// `allowed`, or tells how long to wait for it. An amount above `allowed` is
-/// admitted alone.
+/// `allowed`, or tells how long to wait for it.
 std::optional<duration> admit(
     window_usage& usage,
     const window_bound& bound,
     double allowed,
     double amount,
-    time_point now);
+    time_point now,
+    large_amount large = large_amount::admitted_alone);
+
+/// What the entry admitted in the window that ends now.
+double
+admitted_within(window_usage& usage, const window_bound& bound, time_point now);
 
 } // namespace bergamotusher::admission
--- /dev/null
+++ b/src/base/hash.hpp
@@ -0,0 +1,15 @@
+// Hashes that are equal on every instance and in every start.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace bergamotusher
+{
+
+/// Both numbers mixed: each bit of the result depends on all bits of both.
+std::uint64_t mixed_hash(std::uint64_t a, std::uint64_t b);
+
+std::uint64_t hash_of(std::string_view text);
+
+} // namespace bergamotusher
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -29,7 +29,9 @@
     , relay_(requests)
     , log_(log)
     , send_(std::move(send))
+    , started_at_(uptime())
 {
+    view_.usage_window = options_.usage_window;
     for (const node_id& seed : options_.seeds)
         nodes_[seed] = {};
 }
@@ -70,7 +72,12 @@
     view_.time_offset_ms = true_time_ms(clock_, time_of_day(), now) -
                            now.time_since_epoch().count() / 1000;
     if (now < report_at_)
+    {
+        if (view_.limits_pressed &&
+            now - told_leader_at_ >= options_.pressed_interval)
+            send_to_leader(now);
         return;
+    }
     for (auto& [id, node] : nodes_)
     {
         const bool lost = node.asked_at != time_point{} &&
@@ -100,10 +107,21 @@
         if (node.asked_at == time_point{})
             node.answered_at = now;
         node.asked_at = now;
-        send_(id, id == leader_ ? report(now, true) : brief);
+        if (id == leader_)
+            send_to_leader(now);
+        else
+            send_(id, brief);
     }
 }
 
+void control_link::send_to_leader(time_point now)
+{
+    view_.limits_pressed = false;
+    told_leader_at_ = now;
+    if (!leader_.empty())
+        send_(leader_, report(now, true));
+}
+
 std::string control_link::report(time_point now, bool to_leader)
 {
     pb::entry_report report;
@@ -122,6 +140,17 @@
             newest - std::min(newest, options_.windows_told)));
     if (!to_leader)
         return report.SerializeAsString();
+    report.set_uptime_us((now - started_at_).count());
+    for (auto& [account, usage] : view_.usage_of_limits)
+    {
+        const double admitted =
+            admission::admitted_within(usage, options_.limits.bound, now);
+        if (admitted <= 0)
+            continue;
+        pb::account_amount& amount = *report.add_admitted();
+        amount.set_account(account.value);
+        amount.set_amount(admitted);
+    }
     for (const auto& [window, counts] : view_.usage)
         for (const auto& [account, begun] : counts)
         {
@@ -131,10 +160,7 @@
             count.set_begun(begun);
         }
     // Empty windows are told too: without a report they would not be closed.
-    constexpr std::int64_t window_ms = 5000;
-    const auto current = static_cast<std::uint64_t>(
-        (now.time_since_epoch().count() / 1000 + view_.time_offset_ms) /
-        window_ms);
+    const std::uint64_t current = usage_window_at(view_, now);
     if (view_.site && !view_.site->value.accounts.empty() &&
         view_.usage.count(current) == 0)
     {
@@ -279,6 +305,13 @@
     }
     if (report.entries() > 0)
         view_.entries = report.entries();
+    if (report.is_leader() && report.asked_at_us() != 0)
+    {
+        view_.allowances.clear();
+        for (const pb::account_amount& each : report.allowances())
+            view_.allowances[{each.account()}] = each.amount();
+        view_.allowances_at = time_point{duration(report.asked_at_us())};
+    }
     if (report.is_leader())
     {
         std::set<std::string> silent(
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -34,10 +34,16 @@
     /// How long requests with a key are taken after the moment up to which
     /// the site is known to be the newest. Operators bound it.
     duration site_lease = 4400ms;
+    /// The least time between two reports to the leader where limits are
+    /// nearly used up.
+    duration pressed_interval = 100ms;
+    admission::sharing_options limits;
     /// A control node that does not answer for so long is lost.
     duration node_patience = 2s;
     /// Upstreams are forgotten that no control node has named for so long.
     duration keep = 60s;
+    /// Length of a usage window; the control nodes have the same setting.
+    duration usage_window = 5s;
     /// Usage windows of which the counts are told.
     std::uint64_t windows_told = 7;
     site::parse_function parse = nullptr;
@@ -76,10 +82,10 @@
         time_point asked_at;
         time_point answered_at;
         bool lost = false;
-        std::uint64_t members_seen = 0;
     };
 
     void send_reports(time_point now);
+    void send_to_leader(time_point now);
     std::string report(time_point now, bool to_leader);
     void take_site(
         std::uint64_t version, const std::string& content, time_point now);
@@ -92,7 +98,9 @@
     std::map<node_id, control_node> nodes_;
     node_id leader_;
     shared_clock clock_;
+    time_point started_at_;
     time_point report_at_;
+    time_point told_leader_at_;
     bool draining_ = false;
     bool was_valid_ = false;
     /// For rates between two reports to the leader.
--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -103,6 +103,8 @@
     options.caller_address = to_string(settings.caller_address);
     options.domain = settings.domain;
     options.site_lease = settings.site_lease;
+    options.usage_window = settings.usage_window;
+    options.limits = settings.limits;
     options.parse = parse;
     return options;
 }
--- a/src/gateway/entry_process.hpp
+++ b/src/gateway/entry_process.hpp
@@ -38,7 +38,9 @@
     /// the site is known to be the newest.
     duration site_lease = 4400ms;
     retry_bound retries;
-    admission::window_bound limits;
+    admission::sharing_options limits;
+    /// Length of the windows in which usage is counted.
+    duration usage_window = 5s;
     /// From the order to stop until the process is ended from outside.
     duration grace = 8s;
     std::size_t connections = 4000;
--- a/src/gateway/entry_view.cpp
+++ b/src/gateway/entry_view.cpp
@@ -1,11 +1,13 @@
 #include "gateway/entry_view.hpp"
 
+#include "base/hash.hpp"
+
 #include <algorithm>
 
 namespace bergamotusher::gateway
 {
 
-std::vector<std::string> follow_directory(entry_view& view)
+std::vector<std::string> follow_directory(entry_view& view, time_point now)
 {
     std::set<std::string> held;
     std::set<std::string> known;
@@ -27,7 +29,10 @@
         std::unique_ptr<upstream_view>& own = view.upstreams[id];
         // A new incarnation holds nothing of what the one before it held.
         if (!own || own->value.started_ms != each.value.started_ms)
+        {
             own = std::make_unique<upstream_view>();
+            own->known_since = now;
+        }
         own->value = each.value;
         own->id_hash = hash_of(id.value);
         held.insert(each.value.address);
@@ -43,6 +48,13 @@
     return left;
 }
 
+std::uint64_t usage_window_at(const entry_view& view, time_point now)
+{
+    const duration true_time =
+        now.time_since_epoch() + std::chrono::milliseconds(view.time_offset_ms);
+    return static_cast<std::uint64_t>(true_time / view.usage_window);
+}
+
 std::vector<upstream_view*> candidates(
     const entry_view& view, const service_name& service, std::uint32_t draw)
 {
--- a/src/gateway/entry_view.hpp
+++ b/src/gateway/entry_view.hpp
@@ -45,7 +45,6 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint64_t prompt_tokens_read = 0;
-    std::uint64_t output_tokens = 0;
 };
 
 struct entry_view
@@ -63,16 +62,28 @@
     /// From this process's uptime to the true time of day.
     std::int64_t time_offset_ms = 0;
     std::map<account_id, admission::window_usage> usage_of_limits;
+    /// What the leader allowed this entry to have admitted of each account's
+    /// limit, and when the report was sent that it answered.
+    std::map<account_id, double> allowances;
+    time_point allowances_at;
+    /// So much was admitted since then that the leader is to hear of it soon.
+    bool limits_pressed = false;
     std::map<service_name, retry_allowance> retries;
+    part_rates rates;
     std::map<tally_key, version_tally> tallies;
     std::map<service_name, service_counts> services;
+    /// Length of a usage window, in true time.
+    duration usage_window = 5s;
     /// Requests that began, by usage window and account.
     std::map<std::uint64_t, std::map<account_id, std::uint64_t>> usage;
 };
 
+/// The number of the usage window that `now` falls into.
+std::uint64_t usage_window_at(const entry_view& view, time_point now);
+
 /// Makes `upstreams` and `by_service` follow the directory. Returns addresses
 /// that no upstream has any more.
-std::vector<std::string> follow_directory(entry_view& view);
+std::vector<std::string> follow_directory(entry_view& view, time_point now);
 
 /// The upstreams that requests of `service` may go to now: by the service's
 /// version move, of its target if `draw` (0 to 999) falls into its share.
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -10,14 +10,6 @@
 namespace
 {
 
-std::uint64_t mixed(std::uint64_t a, std::uint64_t b)
-{
-    std::uint64_t z = a ^ (b + 0x9e3779b97f4a7c15U + (a << 6U) + (a >> 2U));
-    z = (z ^ (z >> 30U)) * 0xbf58476d1ce4e5b9U;
-    z = (z ^ (z >> 27U)) * 0x94d049bb133111ebU;
-    return z ^ (z >> 31U);
-}
-
 /// `value` as it has faded since `since`.
 double faded(double value, time_point since, duration memory, time_point now)
 {
@@ -38,75 +30,8 @@
         view.lateness_ms, view.lateness_at, options.lateness_memory, now);
 }
 
-/// The two upstreams that stand first in the order of a shared part. All
-/// entries compute the same order.
-struct holders
-{
-    const upstream_view* first = nullptr;
-    const upstream_view* second = nullptr;
-};
-
-holders holders_of(
-    const std::vector<upstream_view*>& upstreams,
-    const std::vector<prompt_part>& parts)
-{
-    holders found;
-    std::uint64_t best = 0;
-    std::uint64_t next = 0;
-    for (const upstream_view* each : upstreams)
-    {
-        const std::uint64_t rank = mixed(each->id_hash, parts.front().id);
-        if (found.first == nullptr || rank > best)
-        {
-            found.second = found.first;
-            next = best;
-            found.first = each;
-            best = rank;
-        }
-        else if (found.second == nullptr || rank > next)
-        {
-            found.second = each;
-            next = rank;
-        }
-    }
-    return found;
-}
-
-std::uint64_t unread_at(
-    const placement_options& options,
-    const upstream_view& view,
-    const placement_request& request,
-    const holders& order)
-{
-    if (request.parts == nullptr || request.parts->empty())
-        return request.prompt_tokens;
-    const std::uint64_t kept = kept_tokens(view.cache, *request.parts);
-    double guessed = 0;
-    const auto shared = static_cast<double>(request.parts->front().tokens);
-    if (request.parts->size() > 1)
-    {
-        if (&view == order.first)
-            guessed = options.first_holder_kept * shared;
-        else if (&view == order.second)
-            guessed = options.second_holder_kept * shared;
-    }
-    const auto known =
-        std::max(kept, static_cast<std::uint64_t>(std::llround(guessed)));
-    return request.prompt_tokens - std::min(known, request.prompt_tokens);
-}
-
 } // namespace
 
-std::uint64_t hash_of(std::string_view text)
-{
-    constexpr std::uint64_t offset_basis = 0xcbf29ce484222325U;
-    constexpr std::uint64_t prime = 0x100000001b3U;
-    std::uint64_t hash = offset_basis;
-    for (const char c : text)
-        hash = (hash ^ static_cast<unsigned char>(c)) * prime;
-    return mixed(hash, prime);
-}
-
 std::uint32_t running_at(
     const placement_options& options, const upstream_view& view, time_point now)
 {
@@ -127,9 +52,17 @@
 {
     placement_choice best;
     double best_cost = std::numeric_limits<double>::max();
-    holders order;
-    if (request.parts != nullptr && request.parts->size() > 1)
-        order = holders_of(upstreams, *request.parts);
+    spread_query query;
+    const bool has_parts = request.parts != nullptr && !request.parts->empty();
+    if (has_parts)
+        query = make_query(
+            options.spread,
+            upstreams,
+            *request.parts,
+            request.rates,
+            request.entries,
+            now);
+    const auto prompt = static_cast<double>(request.prompt_tokens);
     // An upstream that seems lost is still better than none.
     for (const bool last_resort : {false, true})
     {
@@ -148,10 +81,11 @@
                 best.all_full = true;
                 continue;
             }
-            const std::uint64_t unread =
-                unread_at(options, *each, request, order);
+            const double kept =
+                has_parts ? kept_at(options.spread, query, *each, now) : 0;
+            const double unread = std::max(prompt - kept, 0.0);
             const double predicted =
-                static_cast<double>(each->own_unread_tokens + unread) /
+                (static_cast<double>(each->own_unread_tokens) + unread) /
                     options.prompt_tokens_per_ms +
                 options.running_cost_ms * running +
                 lateness_at(options, *each, now);
@@ -163,7 +97,8 @@
             {
                 best_cost = cost;
                 best.upstream = each;
-                best.unread_tokens = unread;
+                best.unread_tokens =
+                    static_cast<std::uint64_t>(std::llround(unread));
                 best.predicted_ms = predicted;
             }
         }
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "gateway/dialect.hpp"
-#include "gateway/prompt_cache.hpp"
+#include "gateway/prompt_spread.hpp"
 #include "site/upstream_directory.hpp"
 
 #include <bergamotusher/time.hpp>
@@ -46,11 +46,7 @@
     /// Part of the slots that may be taken before others are preferred to wait
     /// for.
     double slots_used = 0.95;
-    /// Parts of a prompt that an upstream is taken to hold if it stands first
-    /// or second in the order of its shared part, though this entry never sent
-    /// it there: other entries have.
-    double first_holder_kept = 0.8;
-    double second_holder_kept = 0.4;
+    spread_options spread;
 };
 
 /// What an entry knows of an upstream.
@@ -58,6 +54,8 @@
 {
     site::upstream value;
     std::uint64_t id_hash = 0;
+    /// When this entry first heard of it.
+    time_point known_since;
     /// Requests of this entry there, by what they still wait for.
     std::uint32_t own_running = 0;
     /// Prompt tokens of own requests that have not begun to answer.
@@ -88,6 +86,10 @@
     std::uint64_t prompt_tokens = 0;
     /// Upstreams that this request was sent to before.
     const std::set<upstream_id>* tried = nullptr;
+    /// How often parts are asked for; null: nothing is known of it.
+    const part_rates* rates = nullptr;
+    /// Entries that send to the same upstreams.
+    std::uint32_t entries = 1;
 };
 
 struct placement_choice
@@ -139,6 +141,4 @@
     const std::optional<answer_facts::load>& load,
     time_point now);
 
-std::uint64_t hash_of(std::string_view text);
-
 } // namespace bergamotusher::gateway
--- a/src/gateway/prompt_cache.cpp
+++ b/src/gateway/prompt_cache.cpp
@@ -3,23 +3,18 @@
 namespace bergamotusher::gateway
 {
 
-std::uint64_t
-kept_tokens(const prompt_cache& cache, const std::vector<prompt_part>& parts)
+bool keeps(const prompt_cache& cache, std::uint64_t id, time_point now)
 {
-    std::uint64_t kept = 0;
-    for (const prompt_part& part : parts)
-    {
-        if (cache.by_id.count(part.id) == 0)
-            break;
-        kept += part.tokens;
-    }
-    return kept;
+    const auto found = cache.by_id.find(id);
+    return found != cache.by_id.end() &&
+           now - found->second->used_at <= part_residence;
 }
 
 void note_read(
     prompt_cache& cache,
     const std::vector<prompt_part>& parts,
-    std::uint64_t capacity)
+    std::uint64_t capacity,
+    time_point now)
 {
     // The last part is the newest in the end, so that it goes first of its
     // prompt when room is needed; its prefix is worth more.
@@ -28,10 +23,11 @@
         const auto known = cache.by_id.find(part->id);
         if (known != cache.by_id.end())
         {
+            known->second->used_at = now;
             cache.parts.splice(cache.parts.begin(), cache.parts, known->second);
             continue;
         }
-        cache.parts.push_front({part->id, part->tokens});
+        cache.parts.push_front({part->id, part->tokens, now});
         cache.by_id[part->id] = cache.parts.begin();
         cache.tokens += part->tokens;
     }
--- a/src/gateway/prompt_cache.hpp
+++ b/src/gateway/prompt_cache.hpp
@@ -4,6 +4,8 @@
 
 #include "gateway/dialect.hpp"
 
+#include <bergamotusher/time.hpp>
+
 #include <cstdint>
 #include <list>
 #include <unordered_map>
@@ -18,6 +20,7 @@
     {
         std::uint64_t id = 0;
         std::uint64_t tokens = 0;
+        time_point used_at;
     };
     /// Newest first.
     std::list<kept_part> parts;
@@ -25,16 +28,19 @@
     std::uint64_t tokens = 0;
 };
 
-/// Leading tokens of `parts` that are believed to be kept: a part counts only
-/// if all before it are kept too.
-std::uint64_t
-kept_tokens(const prompt_cache& cache, const std::vector<prompt_part>& parts);
+/// A part that was not used here for so long is taken to have made room: the
+/// prompts of all entries turn an upstream's memory over in about this time.
+inline constexpr duration part_residence = 20s;
+
+/// Whether the part is believed to be kept.
+bool keeps(const prompt_cache& cache, std::uint64_t id, time_point now);
 
 /// Notes that the upstream reads `parts`; forgets the oldest beyond
 /// `capacity` tokens.
 void note_read(
     prompt_cache& cache,
     const std::vector<prompt_part>& parts,
-    std::uint64_t capacity);
+    std::uint64_t capacity,
+    time_point now);
 
 } // namespace bergamotusher::gateway
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -125,6 +125,7 @@
     }
     note_request(view_.retries[each->service], options_.retries, now);
     place(each);
+    note_asked(options_.placement.spread, view_.rates, each->facts.parts, now);
 }
 
 bool relay::wait_for_site(const request_ptr& each)
@@ -170,14 +171,32 @@
                            *each->facts.prompt_tokens +
                            each->facts.output_tokens.value_or(0))
                      : account.default_tokens;
-    const admission::window_bound& bound = options_.limits;
-    const double allowed = admission::share_of_entry(
-        bound,
-        admission::window_total(bound, account.rate, account.burst),
-        view_.entries,
-        now - started_at_);
+    const admission::window_bound& bound = options_.limits.bound;
     admission::window_usage& usage = view_.usage_of_limits[account.name];
-    const auto wait = admission::admit(usage, bound, allowed, amount, now);
+    const bool shared = now - view_.allowances_at < options_.limits.patience &&
+                        view_.allowances.count(account.name) > 0;
+    // Without word from the leader, an entry keeps to its equal part.
+    const double allowed =
+        shared
+            ? view_.allowances.at(account.name)
+            : admission::share_of_entry(
+                  bound,
+                  admission::window_total(bound, account.rate, account.burst),
+                  view_.entries,
+                  now - started_at_);
+    const double before = usage.sum;
+    const auto wait = admission::admit(
+        usage,
+        bound,
+        allowed,
+        amount,
+        now,
+        shared ? admission::large_amount::refused
+               : admission::large_amount::admitted_alone);
+    // The leader divides what is left by what it knows to be used.
+    constexpr double pressing_part = 0.25;
+    if (shared && amount > pressing_part * (allowed - before))
+        view_.limits_pressed = true;
     if (!wait)
         return true;
     refuse(
@@ -190,16 +209,25 @@
     return false;
 }
 
-void relay::place(const request_ptr& each)
+placement_choice relay::choose_upstream(const request_ptr& each)
 {
-    const time_point now = uptime();
     placement_request wanted;
     wanted.parts = &each->facts.parts;
     wanted.prompt_tokens = each->facts.prompt_tokens.value_or(0);
     wanted.tried = &each->tried;
-    const auto upstreams = candidates(view_, each->service, each->draw);
-    const placement_choice choice =
-        choose(options_.placement, upstreams, wanted, options_.domain, now);
+    wanted.rates = &view_.rates;
+    wanted.entries = view_.entries;
+    return choose(
+        options_.placement,
+        candidates(view_, each->service, each->draw),
+        wanted,
+        options_.domain,
+        uptime());
+}
+
+void relay::place(const request_ptr& each)
+{
+    const placement_choice choice = choose_upstream(each);
     if (choice.upstream != nullptr)
         return send(each, choice);
     if (!each->tried.empty() && !choice.all_full)
@@ -234,16 +262,7 @@
     while (!found->second.empty())
     {
         const request_ptr each = found->second.front();
-        placement_request wanted;
-        wanted.parts = &each->facts.parts;
-        wanted.prompt_tokens = each->facts.prompt_tokens.value_or(0);
-        wanted.tried = &each->tried;
-        const placement_choice choice = choose(
-            options_.placement,
-            candidates(view_, service, each->draw),
-            wanted,
-            options_.domain,
-            uptime());
+        const placement_choice choice = choose_upstream(each);
         if (choice.upstream == nullptr)
             return;
         found->second.pop_front();
@@ -333,7 +352,10 @@
     const site::service* service = find_service(*each->site, each->service);
     if (service != nullptr && service->engine && !each->facts.parts.empty())
         note_read(
-            upstream.cache, each->facts.parts, service->engine->cache_tokens);
+            upstream.cache,
+            each->facts.parts,
+            service->engine->cache_tokens,
+            now);
     service_counts& counts = view_.services[each->service];
     ++counts.running;
     counts.prompt_tokens_read += choice.unread_tokens;
@@ -397,7 +419,7 @@
 
 void relay::upstreams_changed()
 {
-    for (const std::string& address : follow_directory(view_))
+    for (const std::string& address : follow_directory(view_, uptime()))
         pool_.forget(address);
     for (auto& [service, waiting] : waiting_)
         send_waiting(service);
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -4,7 +4,7 @@
 // event on instances that have a part of one core.
 #pragma once
 
-#include "admission/window_limit.hpp"
+#include "admission/shared_limit.hpp"
 #include "gateway/after_break.hpp"
 #include "gateway/dialect.hpp"
 #include "gateway/entry_view.hpp"
@@ -49,7 +49,7 @@
     failure_domain domain;
     placement_options placement;
     retry_bound retries;
-    admission::window_bound limits;
+    admission::sharing_options limits;
     /// Requests that wait for an upstream, for one service.
     std::size_t waiting_max = 512;
     /// The wait that callers are told where nothing better is known.
@@ -142,6 +142,7 @@
 
     void begin(const request_ptr& each);
     bool admit(const request_ptr& each);
+    placement_choice choose_upstream(const request_ptr& each);
     void place(const request_ptr& each);
     void send(const request_ptr& each, const placement_choice& choice);
     std::string bytes_for(const request& each, time_point now) const;
--- a/src/gateway/relay_answers.cpp
+++ b/src/gateway/relay_answers.cpp
@@ -84,13 +84,7 @@
     if (!each->counted_usage && each->account != nullptr)
     {
         each->counted_usage = true;
-        constexpr std::int64_t microseconds_per_ms = 1000;
-        const std::int64_t true_ms =
-            now.time_since_epoch().count() / microseconds_per_ms +
-            view_.time_offset_ms;
-        constexpr std::int64_t window_ms = 5000;
-        ++view_.usage[static_cast<std::uint64_t>(true_ms / window_ms)]
-                     [each->account->name];
+        ++view_.usage[usage_window_at(view_, now)][each->account->name];
     }
     version_tally& seen = tally(*each);
     const double latency =
--- a/src/site/control_process.cpp
+++ b/src/site/control_process.cpp
@@ -111,6 +111,7 @@
     options.announcement_interval = settings.announcement_interval;
     options.duty_pause = settings.duty_pause;
     options.usage = settings.usage;
+    options.limits = settings.limits;
     if (wire.duties)
         options.duties = wire.duties(loop);
     return options;
--- a/src/site/control_process.hpp
+++ b/src/site/control_process.hpp
@@ -38,6 +38,7 @@
     /// From the order to stop until the process is ended from outside.
     duration grace = 8s;
     usage_options usage;
+    admission::sharing_options limits;
 };
 
 /// What varies with the wire that operators, upstreams and callers speak.
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -268,6 +268,7 @@
             .with("sequence", news.sequence)
             .with("started_ms", news.started_ms)
             .with("reclaimable", news.reclaimable ? 1 : 0)
+            .with("leaves_in_ms", news.leaves_in)
             .with("from", "upstream"),
         now);
     spread({news}, {});
@@ -351,6 +352,19 @@
     for (const pb::usage_count& each : report.usage())
         note_usage(
             usage_, source, each.window(), {each.account()}, each.begun());
+    if (leads_ && report.uptime_us() > 0)
+    {
+        std::map<account_id, double> used;
+        for (const pb::account_amount& each : report.admitted())
+            used[{each.account()}] = each.amount();
+        note_use(
+            uses_,
+            message.from,
+            message.incarnation,
+            duration(report.uptime_us()),
+            std::move(used),
+            now);
+    }
     if (report.loads_size() > 0 || report.tallies_size() > 0)
     {
         auto& load = loads_[source];
@@ -398,6 +412,23 @@
             ++entries;
     report.set_entries(entries);
     report.set_is_leader(leads_);
+    if (leads_ && shown_.current && uses_.entries.count(to) > 0)
+        for (const account& each : shown_.current->value.accounts)
+        {
+            if (each.rate <= 0)
+                continue;
+            pb::account_amount& amount = *report.add_allowances();
+            amount.set_account(each.name.value);
+            amount.set_amount(allowance(
+                uses_,
+                options_.limits,
+                to,
+                each.name,
+                admission::window_total(
+                    options_.limits.bound, each.rate, each.burst),
+                entries,
+                now));
+        }
     if (leads_)
         for (const upstream_id& id : silent(
                  directory_,
@@ -426,6 +457,7 @@
                 send(node, wire::site_directory, body);
         }
         forget(directory_, options_.keep, now);
+        forget_uses(uses_, options_.limits, now);
         for (auto i = entries_.begin(); i != entries_.end();)
             i = now - i->second.heard_at > options_.keep ? entries_.erase(i)
                                                          : std::next(i);
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -6,6 +6,7 @@
 // duty's thread.
 #pragma once
 
+#include "admission/shared_limit.hpp"
 #include "base/mailbox.hpp"
 #include "base/shared_clock.hpp"
 #include "daemon/control_duty.hpp"
@@ -97,6 +98,7 @@
     duration change_time = 900ms;
     /// Between the acts of two holders of a duty.
     duration duty_pause = 3s;
+    admission::sharing_options limits;
     usage_options usage;
     move_options moves;
     rent_options rent;
@@ -217,6 +219,7 @@
     std::set<std::uint64_t> delivered_;
     rent_state rented_;
     std::map<usage_source, std::unique_ptr<entry_load>> loads_;
+    admission::use_ledger uses_;
     std::map<service_name, std::uint64_t> judged_;
     time_point rent_at_;
 };
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -1,4 +1,5 @@
 // Which upstream a request goes to.
+#include "base/hash.hpp"
 #include "gateway/placement.hpp"
 
 #include <catch2/catch.hpp>
@@ -59,7 +60,7 @@
     fleet world(6);
     upstream_view* first = world.placed(dossier);
     REQUIRE(first != nullptr);
-    note_read(first->cache, dossier, 100'000);
+    note_read(first->cache, dossier, 100'000, now);
     CHECK(world.placed({{1, 6'300}, {3, 2'900}}) == first);
 
     SECTION("another entry that never sent it places it there too")
@@ -74,6 +75,50 @@
     }
 }
 
+TEST_CASE("prompts spread by their subject, not by what all of them share")
+{
+    // A few tokens open every prompt of the kind; what it is about comes next.
+    fleet world(12);
+    std::set<upstream_id> used;
+    for (std::uint64_t subject = 100; subject < 200; ++subject)
+        used.insert(
+            world
+                .placed({{1, 2'500}, {subject, 3'800}, {subject + 1'000, 500}})
+                ->value.id);
+    CHECK(used.size() >= 10);
+
+    SECTION("and a part that all entries ask for often is taken to be kept "
+            "anywhere")
+    {
+        const spread_options options;
+        part_rates rates;
+        const std::vector<prompt_part> parts{{1, 2'500}, {2, 3'800}, {3, 500}};
+        for (int i = 0; i < 20; ++i)
+            note_asked(options, rates, parts, now - 1s + i * 50ms);
+        const auto all = world.all();
+        const std::vector<prompt_part> other{{1, 2'500}, {9, 3'800}, {8, 500}};
+        const auto query = make_query(options, all, other, &rates, 27, now);
+        upstream_view* far = world.views[0].get();
+        if (far == query.order.first || far == query.order.second)
+            far = world.views[1].get();
+        if (far == query.order.first || far == query.order.second)
+            far = world.views[2].get();
+        CHECK(kept_at(options, query, *far, now) > 2'200);
+        // But not by one that has just come.
+        far->known_since = now;
+        CHECK(kept_at(options, query, *far, now) < 100);
+    }
+    SECTION("and one that drains is no holder")
+    {
+        const std::vector<prompt_part> parts{{1, 2'500}, {2, 3'800}, {3, 500}};
+        upstream_view* first = world.placed(parts);
+        first->value.state = site::upstream_state::draining;
+        const auto order = holders_of(world.all(), *subject_of(parts));
+        CHECK(order.first != first);
+        CHECK(order.second != first);
+    }
+}
+
 TEST_CASE("an upstream is passed over")
 {
     fleet world(2);
@@ -148,10 +193,18 @@
 TEST_CASE("parts are kept in the order of their use")
 {
     prompt_cache cache;
-    note_read(cache, {{1, 600}, {2, 100}}, 1'000);
-    note_read(cache, {{1, 600}, {3, 100}}, 1'000);
-    CHECK(kept_tokens(cache, {{1, 600}, {3, 100}}) == 700);
-    note_read(cache, {{4, 300}}, 1'000);
-    CHECK(kept_tokens(cache, {{1, 600}, {2, 100}}) == 600);
-    CHECK(kept_tokens(cache, {{9, 1}, {1, 600}}) == 0);
+    note_read(cache, {{1, 600}, {2, 100}}, 1'000, now);
+    note_read(cache, {{1, 600}, {3, 100}}, 1'000, now);
+    CHECK(keeps(cache, 1, now));
+    CHECK(keeps(cache, 3, now));
+    note_read(cache, {{4, 300}}, 1'000, now);
+    CHECK(keeps(cache, 1, now));
+    CHECK_FALSE(keeps(cache, 2, now));
+    CHECK(keeps(cache, 3, now));
+    CHECK_FALSE(keeps(cache, 9, now));
+
+    SECTION("and not for longer than an upstream's memory lasts")
+    {
+        CHECK_FALSE(keeps(cache, 1, now + part_residence + 1s));
+    }
 }
