Rent reclaimable upstreams first, and insure against the next reclaim

Eighteen were kept until the demand had been seen for seven seconds, then two on demand for good; after an accepted order no other number could be ordered for five seconds, so that on-demand upstreams came too late after a reclaim; and the announcements do not say that an upstream is reclaimed.

Now: reclaimable upstreams replace on-demand ones one for one before any demand is known; 1.6 times the need of them is wanted without the domain that may go next; none are given back while they may not be to be had again. A reclaim is read from the directory: most of a domain's reclaimable upstreams left, and nobody ordered it. For 20 s after it, 0.9 of the need must be left after one more. An order can be raised at once.

--- a/src/site/control_duties.cpp
+++ b/src/site/control_duties.cpp
@@ -15,7 +15,7 @@
 using observe::log_line;
 
 /// Between two rounds of renting.
-constexpr duration rent_interval = 1s;
+constexpr duration rent_interval = 500ms;
 /// A call to the platform without an answer is made again after this.
 constexpr duration report_again = 1500ms;
 
@@ -36,6 +36,7 @@
     reported_.clear();
     closing_.clear();
     judged_.clear();
+    uses_ = {};
     log_.write(
         log_line(decision::leader_changed)
             .with("leads", leads ? 1 : 0)
@@ -46,10 +47,13 @@
 
 bool control_service::may_act(time_point now) const
 {
+    // Nobody can have acted before the first leader.
+    constexpr std::uint64_t first_term = 1;
     const auto fence = order_fence(*control_, now);
     return leads_ && fence && fence->term == lead_term_ &&
            lead_term_ != fenced_term_ &&
-           now >= leads_since_ + options_.duty_pause;
+           (lead_term_ == first_term ||
+            now >= leads_since_ + options_.duty_pause);
 }
 
 void control_service::lead(time_point now)
--- a/src/site/rent_policy.cpp
+++ b/src/site/rent_policy.cpp
@@ -36,9 +36,14 @@
         options.demand_follows * (demand.requests - planned.requests);
     planned.prompt_tokens +=
         options.demand_follows * (demand.prompt_tokens - planned.prompt_tokens);
-    const double now_wanted = std::max(
+    double now_wanted = std::max(
         planned.requests / options.requests_each,
         planned.prompt_tokens / options.prompt_tokens_each);
+    const auto began_with = state.began_with.find(service);
+    if (demand.requests <= 0 && state.demand_since.count(service) == 0 &&
+        began_with != state.began_with.end())
+        now_wanted =
+            std::max(now_wanted, static_cast<double>(began_with->second));
     // Only values that no later one exceeds can still be the highest.
     while (!wanted.empty() && wanted.back().second <= now_wanted)
         wanted.pop_back();
@@ -78,26 +83,112 @@
     return spread;
 }
 
-/// Reclaimable upstreams that have served for a while and would be left if the
-/// failure domain with most of them lost all of its own.
-std::uint32_t left_after_reclaim(
+/// Reclaimable upstreams of a service that have served for a while.
+struct reclaimable_count
+{
+    std::uint32_t all = 0;
+    /// In the failure domain that has most of them.
+    std::uint32_t most = 0;
+};
+
+reclaimable_count trusted_reclaimable(
     const rent_options& options,
     const upstream_directory& directory,
     const service_name& service,
     time_point now)
 {
     std::map<failure_domain, std::uint32_t> counts;
-    std::uint32_t all = 0;
-    std::uint32_t most = 0;
+    reclaimable_count found;
     for (const auto& [id, each] : directory.upstreams)
         if (each.value.service == service && each.value.reclaimable &&
             each.value.state == upstream_state::ready &&
             now - each.changed_at >= options.trust)
         {
-            ++all;
-            most = std::max(most, ++counts[each.value.domain]);
+            ++found.all;
+            found.most = std::max(found.most, ++counts[each.value.domain]);
         }
-    return all - most;
+    return found;
+}
+
+std::uint32_t present_on_demand(
+    const renting_terms& terms,
+    const upstream_directory& directory,
+    const service_name& service)
+{
+    std::uint32_t count = 0;
+    for (const auto& [domain, price] : terms.prices)
+        count += present(directory, {service, domain, market::on_demand});
+    return count;
+}
+
+/// Whether a failure domain lost its reclaimable upstreams lately, or is losing
+/// them, though none were given back: announcements need not say that they are
+/// reclaimed. Mostly read from the directory, so that a new leader knows it.
+bool reclaimed_lately(
+    const rent_options& options,
+    const rent_state& state,
+    const renting_terms& terms,
+    const upstream_directory& directory,
+    const service_name& service,
+    time_point now)
+{
+    std::map<failure_domain, std::uint32_t> leaving;
+    for (const auto& [id, each] : directory.upstreams)
+        if (each.value.service == service && each.value.reclaimable &&
+            each.value.state != upstream_state::ready &&
+            now - each.changed_at < options.reclaim_memory)
+            ++leaving[each.value.domain];
+    return std::any_of(
+        terms.prices.begin(),
+        terms.prices.end(),
+        [&](const auto& priced)
+        {
+            const rent_key key{service, priced.first, market::reclaimable};
+            const std::uint32_t gone = leaving[priced.first];
+            const std::uint32_t left = present(directory, key);
+            const auto order = state.orders.find(key);
+            const bool given_back =
+                order != state.orders.end() && order->second.count <= left;
+            return gone >= options.reclaimed_least && gone > left &&
+                   !given_back;
+        });
+}
+
+std::uint32_t whole(double count)
+{
+    return static_cast<std::uint32_t>(std::ceil(std::max(count, 0.0)));
+}
+
+/// On-demand upstreams that the service is to have.
+std::uint32_t on_demand_wanted(
+    const rent_options& options,
+    const rent_state& state,
+    const renting_terms& terms,
+    const service_name& service,
+    double need,
+    bool reclaimed,
+    const upstream_directory& directory,
+    time_point now)
+{
+    const reclaimable_count cheap =
+        trusted_reclaimable(options, directory, service, now);
+    const double insured =
+        reclaimed ? options.insured_part_after_reclaim : options.insured_part;
+    const auto wanted = std::max(
+        whole(need - cheap.all),
+        whole(insured * need - (cheap.all - cheap.most)));
+    const auto since = state.demand_since.find(service);
+    if (since != state.demand_since.end() &&
+        now - since->second >= options.settle)
+        return wanted;
+    // The demand is not known yet: nothing goes, but for upstreams that
+    // reclaimable ones replace one for one.
+    const auto began_with = state.began_with.find(service);
+    const std::uint32_t kept =
+        began_with == state.began_with.end()
+            ? present_on_demand(terms, directory, service)
+            : began_with->second - std::min(began_with->second, cheap.all);
+    return std::max(wanted, kept);
 }
 
 } // namespace
@@ -113,27 +204,35 @@
     if (!service.renting || service.renting->prices.empty())
         return {};
     const renting_terms& terms = *service.renting;
-    const double need = recent_want(options, state, service.name, demand, now) *
-                        options.headroom;
+    if (!state.began_at)
+        state.began_at = now;
+    const bool all_announced = now - *state.began_at >= options.announced_after;
+    const std::uint32_t held_on_demand =
+        present_on_demand(terms, directory, service.name);
     if (demand.requests > 0)
         state.demand_since.emplace(service.name, now);
+    else if (
+        state.demand_since.count(service.name) == 0 &&
+        (state.began_with.count(service.name) > 0 ||
+         trusted_reclaimable(options, directory, service.name, now).all == 0))
+    {
+        std::uint32_t& began_with = state.began_with[service.name];
+        began_with = std::max(began_with, held_on_demand);
+    }
+    const double need = recent_want(options, state, service.name, demand, now);
     const auto since = state.demand_since.find(service.name);
     const bool settled = since != state.demand_since.end() &&
                          now - since->second >= options.settle;
     // One domain's reclaimable upstreams can go at once.
     const double sharers =
         static_cast<double>(std::max<std::size_t>(terms.prices.size(), 2) - 1);
-    const auto reclaimable_each =
-        terms.reclaimable_price > 0
-            ? static_cast<std::uint32_t>(std::ceil(need / sharers))
-            : 0;
-    // What they do not carry now is carried by upstreams that stay.
-    const auto needed =
-        static_cast<std::uint32_t>(std::ceil(need / options.headroom));
-    const std::uint32_t carried = std::min(
-        needed, left_after_reclaim(options, directory, service.name, now));
-    const std::uint32_t on_demand =
-        std::max(options.on_demand_least, needed - carried);
+    const std::uint32_t reclaimable_each =
+        terms.reclaimable_price > 0 ? whole(need * options.headroom / sharers)
+                                    : 0;
+    const bool reclaimed =
+        reclaimed_lately(options, state, terms, directory, service.name, now);
+    const std::uint32_t on_demand = on_demand_wanted(
+        options, state, terms, service.name, need, reclaimed, directory, now);
     const auto fixed_by_domain = spread_by_price(terms, on_demand);
     std::vector<wanted_count> wanted;
     for (const auto& [domain, price] : terms.prices)
@@ -147,16 +246,19 @@
             found == fixed_by_domain.end() ? 0 : found->second;
         if (reclaimable_each == 0 || present(directory, reclaimable) == 0)
             fixed = std::max(fixed, terms.least);
-        if (!settled)
-            fixed = std::max(fixed, held);
         fixed = std::min(fixed, terms.most);
-        wanted.push_back({paid, fixed});
+        // Where rented ones are known already, the directory is older than
+        // this leader.
+        const bool is_first_start = state.began_with.count(service.name) > 0;
+        if (all_announced || (!is_first_start && fixed > held))
+            wanted.push_back({paid, fixed});
         // The bounds are on both markets together.
         const std::uint32_t room =
             terms.most - std::min(terms.most, std::max(held, fixed));
         std::uint32_t others = reclaimable_each;
-        if (!settled)
-            others = std::max(others, present(directory, reclaimable));
+        const std::uint32_t cheap = present(directory, reclaimable);
+        if (!settled || reclaimed || others >= options.give_back_part * cheap)
+            others = std::max(others, cheap);
         if (!dry && terms.reclaimable_price > 0)
             wanted.push_back({reclaimable, std::min(others, room)});
     }
@@ -167,7 +269,8 @@
         if (known != state.orders.end())
         {
             const rent_order& order = known->second;
-            if (now < order.quiet_until)
+            const bool raises = order.answered && each.count > order.count;
+            if (now < order.quiet_until && !raises)
                 continue;
             const bool fits = present(directory, each.key) == each.count;
             if (order.count == each.count && order.answered && fits)
--- a/src/site/rent_policy.hpp
+++ b/src/site/rent_policy.hpp
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -42,14 +43,25 @@
     /// Prompt tokens a second that one upstream reads within target: about
     /// half of the 22,000 that it reads beside other requests' tokens.
     double prompt_tokens_each = 13000;
-    /// Upstreams of each service that no reclaim can take.
-    std::uint32_t on_demand_least = 2;
-    /// Upstreams wanted beyond the demand, as long as cheap ones are to be
-    /// had.
-    double headroom = 1.25;
+    /// Reclaimable upstreams wanted for each one that the demand needs, counted
+    /// without the failure domain that may go next. They cost about a fifth of
+    /// the others.
+    double headroom = 1.6;
+    /// Part of the need that must be left after one more reclaim: what is
+    /// missing then is there only after the boot time. Reclaims come in series,
+    /// so that more is kept for a while after one.
+    double insured_part = 0.5;
+    double insured_part_after_reclaim = 0.9;
+    duration reclaim_memory = 20s;
+    /// A failure domain is taken to be reclaimed if so many of its reclaimable
+    /// upstreams, and more than are left, went within this time.
+    std::uint32_t reclaimed_least = 2;
+    /// Reclaimable upstreams are given back where less than this part of them
+    /// is wanted: they are cheap, and may not be to be had again soon.
+    double give_back_part = 0.6;
     /// How fast the demand that is planned for follows what is reported: part
     /// of the difference that is taken over with each round.
-    double demand_follows = 0.25;
+    double demand_follows = 0.13;
     /// What was wanted within this time is still wanted: the load comes in
     /// waves, and what is given back takes its caches along.
     duration memory = 12s;
@@ -57,7 +69,10 @@
     duration settle = 7s;
     /// Reclaimable upstreams must have served for so long before others are
     /// given back in their place: they tend to come back and go again.
-    duration trust = 4s;
+    duration trust = 1500ms;
+    /// No fewer on-demand upstreams than are known are ordered before all had
+    /// the time to announce themselves: that would take some away.
+    duration announced_after = 2500ms;
     /// After a refusal an order is not repeated for so long.
     duration refused_pause = 3s;
     /// An order without an answer is sent again after this.
@@ -79,7 +94,8 @@
 {
     std::uint32_t count = 0;
     time_point sent_at;
-    /// Not to be sent again before.
+    /// Not to be sent again before, nor to be lowered. More can be ordered once
+    /// the order was answered.
     time_point quiet_until;
     bool answered = false;
     /// None are to be had there before.
@@ -88,9 +104,14 @@
 
 struct rent_state
 {
+    /// When orders were first thought of.
+    std::optional<time_point> began_at;
     /// Demand that is planned for, by service, and since when there is any.
     std::map<service_name, service_demand> demand;
     std::map<service_name, time_point> demand_since;
+    /// On-demand upstreams that a service began with, where no reclaimable one
+    /// had been rented yet: the operators' own estimate of the need.
+    std::map<service_name, std::uint32_t> began_with;
     std::map<rent_key, rent_order> orders;
     /// Upstreams wanted, by service, with the time until which they are.
     std::map<service_name, std::vector<std::pair<time_point, double>>> wanted;
