A fault soak: the real programs under faults from outside

Seeded faults come in series and overlap: kill, freeze, SIGTERM, all control nodes at once, a lost disk, crashed upstreams; links that are cut, cut one way, slowed, reset, or whose open connections fall silent. It checks: at most once, true refusals, answers and streams as the upstream gave them, accounts and keys, keys taken away, drains, configuration acknowledged and read back, one holder a fence, usage reported once, the time to stop, and service after the faults. The checks have a test of their own.

For it the product can listen for messages on another address than the one that others use (a forwarded port): `peer_bind`, BERGAMOTUSHER_PEER_BIND. The options of the messages of both kinds of node, which stood twice, are one function.

Not covered yet: clocks that step, disks that stall or fill, several hundred processes.

--- a/src/daemon/peers_duty.cpp
+++ b/src/daemon/peers_duty.cpp
@@ -429,6 +429,24 @@
     return parse_peer_keys(secret);
 }
 
+peers_options open_membership_options(
+    const endpoint& address, const std::optional<endpoint>& bind)
+{
+    // A peer that does not answer counts as lost within a second and a half,
+    // well before an operator or an upstream tries another node.
+    constexpr duration ping = 700ms;
+    constexpr duration ping_timeout = 1500ms;
+    constexpr duration connect_timeout = 1000ms;
+    peers_options options;
+    options.self.value = to_string(address);
+    options.incarnation =
+        static_cast<std::uint64_t>(time_of_day().milliseconds);
+    options.address = to_string(bind.value_or(address));
+    options.open_membership = true;
+    options.timing = {ping, ping_timeout, connect_timeout};
+    return options;
+}
+
 peers_handle make_peers(peers_options options)
 {
     peers_handle duty(new peers_duty);
--- a/src/daemon/peers_duty.hpp
+++ b/src/daemon/peers_duty.hpp
@@ -11,6 +11,7 @@
 // push into the mailbox of the duty that wants the message.
 #pragma once
 
+#include "settings/settings.hpp"
 #include "wire/envelope.pb.h"
 
 #include <bergamotusher/error_kind.hpp>
@@ -87,6 +88,11 @@
     std::function<void(hybrid_time)> observe;
 };
 
+/// Options of a node whose id is its own address, where nodes come and go. It
+/// listens on `bind` if others reach `address` through a forwarded port.
+peers_options open_membership_options(
+    const endpoint& address, const std::optional<endpoint>& bind);
+
 /// A message to hand to a peer.
 struct outgoing_message
 {
--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -74,18 +74,6 @@
     bool stopped_taking_ = false;
 };
 
-peers_options peer_options(const entry_settings& settings)
-{
-    peers_options options;
-    options.self.value = to_string(settings.peer_address);
-    options.incarnation =
-        static_cast<std::uint64_t>(time_of_day().milliseconds);
-    options.address = to_string(settings.peer_address);
-    options.open_membership = true;
-    options.timing = {700ms, 1500ms, 1000ms};
-    return options;
-}
-
 relay_options relay_settings(const entry_settings& settings)
 {
     relay_options options;
@@ -128,7 +116,8 @@
     , signals_(loop_, SIGTERM, SIGINT, SIGHUP)
     , timer_(loop_)
     , relay_(loop_, wire_.words, relay_settings(settings), view_, log_)
-    , peers_(make_peers(peer_options(settings)))
+    , peers_(make_peers(
+          open_membership_options(settings.peer_address, settings.peer_bind)))
     , to_peers_(make_sender(*peers_, peers_ring))
     , from_peers_(
           loop_,
--- a/src/gateway/entry_process.hpp
+++ b/src/gateway/entry_process.hpp
@@ -30,6 +30,9 @@
     endpoint readiness_address;
     /// IP:PORT for messages between nodes; also the entry's node id.
     endpoint peer_address;
+    /// Where messages are listened for, if other nodes reach `peer_address`
+    /// through a port that is forwarded.
+    std::optional<endpoint> peer_bind;
     /// Port of /metrics on the readiness address's host; none: not served.
     std::optional<std::uint16_t> metrics_port;
     /// Messages addresses of control nodes that are asked first.
--- a/src/site/control_process.cpp
+++ b/src/site/control_process.cpp
@@ -72,18 +72,6 @@
     std::optional<time_point> stopping_since_;
 };
 
-peers_options peer_options(const control_settings& settings)
-{
-    peers_options options;
-    options.self.value = to_string(settings.peer_address);
-    options.incarnation =
-        static_cast<std::uint64_t>(time_of_day().milliseconds);
-    options.address = to_string(settings.peer_address);
-    options.open_membership = true;
-    options.timing = {700ms, 1500ms, 1000ms};
-    return options;
-}
-
 control_options replica_options_of(const control_settings& settings)
 {
     control_options options;
@@ -127,7 +115,8 @@
     , log_(settings.name, "control", {})
     , signals_(loop_, SIGTERM, SIGINT, SIGHUP)
     , timer_(loop_)
-    , peers_(make_peers(peer_options(settings)))
+    , peers_(make_peers(
+          open_membership_options(settings.peer_address, settings.peer_bind)))
     , service_(
           loop_, service_options(settings, wire, loop_), wire.parse_site, log_)
 {
--- a/src/site/control_process.hpp
+++ b/src/site/control_process.hpp
@@ -25,6 +25,9 @@
     std::vector<endpoint> api_addresses;
     /// IP:PORT for messages between nodes; also the node's id.
     endpoint peer_address;
+    /// Where messages are listened for, if other nodes reach `peer_address`
+    /// through a port that is forwarded.
+    std::optional<endpoint> peer_bind;
     std::optional<std::uint16_t> metrics_port;
     std::vector<node_id> seeds;
     std::string data_dir;
--- a/tests/harness/child.cpp
+++ b/tests/harness/child.cpp
@@ -23,7 +23,8 @@
 child::child(
     const std::string& program,
     const std::vector<std::string>& arguments,
-    const std::string& log)
+    const std::string& log,
+    std::vector<std::string> variables)
 {
     std::vector<std::string> all{program};
     all.insert(all.end(), arguments.begin(), arguments.end());
@@ -32,13 +33,25 @@
     for (std::string& one : all)
         argv.push_back(one.data());
     argv.push_back(nullptr);
+    for (char** own = environ; *own != nullptr; ++own)
+        variables.emplace_back(*own);
+    std::vector<char*> environment;
+    environment.reserve(variables.size() + 1);
+    for (std::string& one : variables)
+        environment.push_back(one.data());
+    environment.push_back(nullptr);
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(
         &files, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&files, 1, 2);
     const int error = posix_spawn(
-        &id_, program.c_str(), &files, nullptr, argv.data(), environ);
+        &id_,
+        program.c_str(),
+        &files,
+        nullptr,
+        argv.data(),
+        environment.data());
     posix_spawn_file_actions_destroy(&files);
     if (error != 0)
         throw std::runtime_error("cannot start " + program);
--- a/tests/harness/child.hpp
+++ b/tests/harness/child.hpp
@@ -12,11 +12,13 @@
 class child
 {
 public:
-    /// Output goes to `log`.
+    /// Output goes to `log`; `variables` are NAME=VALUE, beside those of the
+    /// test's own environment.
     child(
         const std::string& program,
         const std::vector<std::string>& arguments,
-        const std::string& log);
+        const std::string& log,
+        std::vector<std::string> variables = {});
     ~child();
     child(child&& other) noexcept;
     child& operator=(child&& other) noexcept;
--- a/tests/harness/link.hpp
+++ b/tests/harness/link.hpp
@@ -1,7 +1,9 @@
-// A TCP link between two processes that a test can cut: while it is cut,
-// nothing passes, and neither side is told.
+// A TCP link between two processes that a test can harm: cut both ways or one,
+// slowed, reset, or with its open connections silent for good. Neither side is
+// told, but by a reset.
 #pragma once
 
+#include <chrono>
 #include <memory>
 #include <string>
 
@@ -19,7 +21,16 @@
 
     /// Holds back everything until `mend`.
     void cut();
+    /// Holds back what goes to the far side, or what comes from it.
+    void cut_one_way(bool to_far_side);
+    /// Holds each piece back for so long.
+    void slow_down(std::chrono::milliseconds by);
+    /// Ends cuts and delays.
     void mend();
+    /// Resets all open connections.
+    void reset();
+    /// Nothing passes any more on the connections that are open now.
+    void silence();
 
     struct state;
 
