--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -204,7 +204,11 @@
         error_kind::rate_limited,
         "the account's limit: " + std::to_string(std::llround(amount)) +
             " wanted, " + std::to_string(std::llround(usage.sum)) +
-            " used of " + std::to_string(std::llround(allowed)),
+            " used of " + std::to_string(std::llround(allowed)) +
+            (shared ? ", told by the leader " +
+                          std::to_string((now - view_.allowances_at) / 1ms) +
+                          " ms ago"
+                    : ", an equal part"),
         *wait);
     return false;
 }
