An entry that has just started waits for the directory

Ruled out: readiness that waits for the directory, which a site without any upstream would never reach.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -32,6 +32,7 @@
     , started_at_(uptime())
 {
     view_.usage_window = options_.usage_window;
+    view_.directory_awaited = true;
     for (const node_id& seed : options_.seeds)
         nodes_[seed] = {};
 }
@@ -329,6 +330,7 @@
     if (!news)
         return;
     const time_point now = uptime();
+    view_.directory_awaited = false;
     bool changed = false;
     for (const site::upstream& each : *news)
     {
--- a/src/gateway/entry_view.hpp
+++ b/src/gateway/entry_view.hpp
@@ -53,6 +53,8 @@
     /// Requests with a key are taken until then.
     time_point site_valid_until;
     site::upstream_directory directory;
+    /// No directory has come yet since the start, and one is on its way.
+    bool directory_awaited = false;
     /// One for each upstream of the directory that is not gone.
     std::map<upstream_id, std::unique_ptr<upstream_view>> upstreams;
     std::map<service_name, std::vector<upstream_view*>> by_service;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -236,11 +236,34 @@
         return send(each, choice);
     if (!each->tried.empty() && !choice.all_full)
         return after_send(each, send_outcome::not_sent, "no other upstream");
-    if (choice.all_full)
+    if (choice.all_full || awaits_directory(uptime()))
         return wait(each);
     refuse(each, error_kind::no_upstream, "no upstream is ready");
 }
 
+bool relay::awaits_directory(time_point now) const
+{
+    return view_.directory_awaited &&
+           now - started_at_ < options_.site_expected;
+}
+
+void relay::refuse_hopeless(time_point now)
+{
+    if (awaits_directory(now))
+        return;
+    for (auto& [service, waiting] : waiting_)
+    {
+        if (!view_.by_service[service].empty())
+            continue;
+        view_.services[service].waiting = 0;
+        for (const request_ptr& each : std::exchange(waiting, {}))
+        {
+            each->is_waiting = false;
+            refuse(each, error_kind::no_upstream, "no upstream is known");
+        }
+    }
+}
+
 void relay::wait(const request_ptr& each)
 {
     auto& waiting = waiting_[each->service];
@@ -445,6 +468,7 @@
     }
     for (auto& [service, waiting] : waiting_)
         send_waiting(service);
+    refuse_hopeless(now);
 }
 
 void relay::arm()
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -144,6 +144,10 @@
     bool admit(const request_ptr& each);
     placement_choice choose_upstream(const request_ptr& each);
     void place(const request_ptr& each);
+    /// After a start the site can come before the directory.
+    bool awaits_directory(time_point now) const;
+    /// Refuses what waits for a service that has no upstream.
+    void refuse_hopeless(time_point now);
     void send(const request_ptr& each, const placement_choice& choice);
     std::string bytes_for(const request& each, time_point now) const;
     send_events events_for(const request_ptr& each);
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -105,6 +105,38 @@
     }
 }
 
+TEST_CASE("a request waits for the directory that is on its way")
+{
+    world entry;
+    entry.view.directory_awaited = true;
+    std::unique_ptr<scripted_upstream> desk;
+    boost::asio::steady_timer later(entry.loop, 100ms);
+
+    SECTION("and is served once an upstream of its service is known")
+    {
+        later.async_wait(
+            [&](const boost::system::error_code&)
+            {
+                entry.view.directory_awaited = false;
+                desk = entry.upstream("u1", "desk");
+                desk->scripts = {answer(200, "found")};
+            });
+        CHECK(holds(entry.ask(request("GET", "/lookup/1")), "found"));
+    }
+    SECTION("and is refused once it has come without one")
+    {
+        const time_point began = uptime();
+        later.async_wait(
+            [&](const boost::system::error_code&)
+            {
+                entry.view.directory_awaited = false;
+                entry.requests->tick();
+            });
+        CHECK(holds(entry.ask(request("GET", "/lookup/1")), "HTTP/1.1 503"));
+        CHECK(uptime() - began < 500ms);
+    }
+}
+
 TEST_CASE("an order is not sent twice")
 {
     world entry;
