--- a/tests/control/control_duty_test.cpp
+++ b/tests/control/control_duty_test.cpp
@@ -119,6 +119,16 @@
             *all.members[leader]->proposer,
             {i, "c" + std::to_string(i), now() + 10s});
     REQUIRE(wait_until_applied(all, leader, 600));
+    // Snapshots follow what was applied; until there is one, the log still
+    // holds what the node has missed.
+    REQUIRE(wait_for(
+        all.members[leader]->seen,
+        5s,
+        [&]
+        {
+            return status_of(*all.members[leader]->control).snapshot_index >=
+                   600 - all.snapshot_every;
+        }));
     start_member(all, away);
     CHECK(wait_until_applied(all, away, 600));
     CHECK(status_of(*all.members[away]->control).snapshots_installed == 1);
--- a/tests/soak/run.cpp
+++ b/tests/soak/run.cpp
@@ -26,7 +26,7 @@
 namespace
 {
 
-constexpr unsigned callers = 6;
+constexpr unsigned callers = 16;
 constexpr int patience_ms = 2500;
 /// The promise in the settings: in force everywhere so long after the
 /// acknowledgement.
@@ -262,9 +262,12 @@
             return harm("face of node", all_.system.face(any_node()));
         case 6:
         case 7:
+        {
+            const unsigned place = random_() % upstream_places;
             return harm(
-                "way to upstream",
-                all_.upstreams.way(random_() % upstream_places));
+                "way to upstream " + std::to_string(place),
+                all_.upstreams.way(place));
+        }
         case 8:
             return crash_upstream();
         default:
--- a/tests/soak/upstreams.cpp
+++ b/tests/soak/upstreams.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdio>
+#include <functional>
 #include <utility>
 
 namespace soak
@@ -15,7 +16,8 @@
 {
 
 constexpr auto announcement_interval = std::chrono::milliseconds(500);
-constexpr auto work_time = std::chrono::milliseconds(15);
+/// Orders and look-ups take up to so long, so that faults meet many of them.
+constexpr std::size_t work_ms_most = 250;
 constexpr auto event_time = std::chrono::milliseconds(10);
 
 std::string head_of(int status, const std::string& attempt)
@@ -110,7 +112,8 @@
              field("Bergamotusher-Tenant"),
              !field("Authorization").empty(),
              clock_type::now()});
-        std::this_thread::sleep_for(work_time);
+        std::this_thread::sleep_for(std::chrono::milliseconds(
+            std::hash<std::string>{}(attempt) % work_ms_most));
         const std::string head = head_of(200, attempt) +
                                  "Bergamotusher-Server-Seal: s-" + id + "\r\n";
         if (request.target().find("/chat/") != 0)
