--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -79,6 +79,12 @@
     runs_.push_back(one);
 }
 
+void ledger::note_revoking(const std::string& key)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    revoking_.insert(key);
+}
+
 void ledger::note_revoked(const std::string& key, moment acknowledged_at)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -109,7 +115,7 @@
     std::size_t sent = 0;
     std::size_t served = 0;
     for (const auto& [attempt, each] : asked_)
-        if (each.sent_at >= from && revoked_.count(each.key) == 0)
+        if (each.sent_at >= from && revoking_.count(each.key) == 0)
         {
             ++sent;
             served += each.status == ok && each.complete ? 1 : 0;
--- a/tests/soak/ledger.hpp
+++ b/tests/soak/ledger.hpp
@@ -59,6 +59,9 @@
     void note_sent(const std::string& attempt, const asked& what);
     void note_answer(const std::string& attempt, const asked& what);
     void note_run(const ran& one);
+    /// A configuration without the key is on its way; from now on either
+    /// answer to a request with it is right.
+    void note_revoking(const std::string& key);
     void note_revoked(const std::string& key, moment acknowledged_at);
     void note_drained(const std::string& upstream, moment acknowledged_at);
     void note_wrong(const std::string& what);
@@ -76,6 +79,7 @@
     std::mutex mutex_;
     std::map<std::string, asked> asked_;
     std::vector<ran> runs_;
+    std::set<std::string> revoking_;
     std::map<std::string, moment> revoked_;
     std::map<std::string, moment> drained_;
     std::vector<std::string> wrong_;
--- a/tests/soak/run.cpp
+++ b/tests/soak/run.cpp
@@ -117,6 +117,7 @@
             key = keys.back();
             keys.pop_back();
             revoked.push_back(key);
+            all.notes.note_revoking(key);
         }
         const auto at = replace(all, version, revoked, random);
         if (at && !key.empty())
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -16,8 +16,10 @@
 namespace
 {
 
-/// Seeds that broke a promise once, each with its cause, and one more.
-const std::vector<unsigned> kept_seeds{1};
+/// Seeds that broke a promise once, or that find a break made on purpose:
+/// 43, an order that is sent again though it may have run;
+/// 44, the soak's own: a key was being taken away while it counted.
+const std::vector<unsigned> kept_seeds{43, 44};
 
 std::vector<unsigned> seeds()
 {
