--- a/src/gateway/prompt_spread.cpp
+++ b/src/gateway/prompt_spread.cpp
@@ -153,16 +153,19 @@
         return 0;
     double kept = 0;
     double chance = 1;
-    // Whatever is kept, all before it is kept too.
-    const double of_subject =
-        parts.size() < 2
-            ? 0
-            : chance_of(options, query, parts.size() - 2, view, now);
-    for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+    if (parts.size() > 1)
     {
-        chance = std::max(
-            chance * chance_of(options, query, i, view, now), of_subject);
-        kept += chance * static_cast<double>(parts[i].tokens);
+        const std::size_t subject = parts.size() - 2;
+        const double of_subject = chance_of(options, query, subject, view, now);
+        // Whatever is kept, all before it is kept too.
+        for (std::size_t i = 0; i < subject; ++i)
+        {
+            chance = std::max(
+                chance * chance_of(options, query, i, view, now), of_subject);
+            kept += chance * static_cast<double>(parts[i].tokens);
+        }
+        chance = of_subject;
+        kept += chance * static_cast<double>(parts[subject].tokens);
     }
     // The last part is the request's own: nobody else sent it.
     if (keeps(view.cache, parts.back().id, now))
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -281,6 +281,15 @@
     ++view_.services[each->service].waiting;
 }
 
+void relay::stop_waiting(const request_ptr& each)
+{
+    auto& waiting = waiting_[each->service];
+    waiting.erase(
+        std::remove(waiting.begin(), waiting.end(), each), waiting.end());
+    --view_.services[each->service].waiting;
+    each->is_waiting = false;
+}
+
 void relay::send_waiting(const service_name& service)
 {
     const auto found = waiting_.find(service);
@@ -428,12 +437,7 @@
         std::remove(waiting_for_site_.begin(), waiting_for_site_.end(), each),
         waiting_for_site_.end());
     if (each->is_waiting)
-    {
-        auto& waiting = waiting_[each->service];
-        waiting.erase(
-            std::remove(waiting.begin(), waiting.end(), each), waiting.end());
-        --view_.services[each->service].waiting;
-    }
+        stop_waiting(each);
     each->caller.reset();
     release(each);
     finish(each);
@@ -524,11 +528,7 @@
     }
     if (each->is_waiting)
     {
-        auto& waiting = waiting_[each->service];
-        waiting.erase(
-            std::remove(waiting.begin(), waiting.end(), each), waiting.end());
-        --view_.services[each->service].waiting;
-        each->is_waiting = false;
+        stop_waiting(each);
         return refuse(each, error_kind::overloaded, "no upstream became free");
     }
     pool_.cancel(each->ticket);
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -188,6 +188,7 @@
     /// Holds a request for a site that is on its way; false if none is.
     bool wait_for_site(const request_ptr& each);
     void wait(const request_ptr& each);
+    void stop_waiting(const request_ptr& each);
     void send_waiting(const service_name& service);
     void arm();
     void on_timer();
--- a/src/site/control_process.cpp
+++ b/src/site/control_process.cpp
@@ -51,7 +51,6 @@
     void check();
     void schedule();
     void on_signal();
-    void stop_after_leaving();
     void restart_storage(time_point now);
 
     control_settings settings_;
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -61,13 +61,7 @@
     return key.substr(0, key.find('-'));
 }
 
-void ledger::note_sent(const std::string& attempt, const asked& what)
-{
-    const std::lock_guard<std::mutex> lock(mutex_);
-    asked_[attempt] = what;
-}
-
-void ledger::note_answer(const std::string& attempt, const asked& what)
+void ledger::note_asked(const std::string& attempt, const asked& what)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     asked_[attempt] = what;
--- a/tests/soak/ledger.hpp
+++ b/tests/soak/ledger.hpp
@@ -56,8 +56,9 @@
 class ledger
 {
 public:
-    void note_sent(const std::string& attempt, const asked& what);
-    void note_answer(const std::string& attempt, const asked& what);
+    /// What is known of a request: when it is sent, and again once it is
+    /// answered.
+    void note_asked(const std::string& attempt, const asked& what);
     void note_run(const ran& one);
     /// A configuration without the key is on its way; from now on either
     /// answer to a request with it is right.
--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -23,7 +23,7 @@
         what.complete = true;
         what.is_signed = status == 200;
         what.body = status == 200 ? answer_to(kind, attempt) : "";
-        notes.note_sent(attempt, what);
+        notes.note_asked(attempt, what);
     }
 
     ran run_of(const std::string& attempt, request_kind kind) const
@@ -82,15 +82,15 @@
         what.complete = true;
         what.is_signed = true;
         what.body = event_text("a4", 1) + event_text("a4", 3);
-        tale.notes.note_answer("a4", what);
+        tale.notes.note_asked("a4", what);
         tale.notes.note_run(tale.run_of("a4", request_kind::chat));
         CHECK(tale.notes.broken().size() == 1);
 
         what.complete = false;
-        tale.notes.note_answer("a4", what);
+        tale.notes.note_asked("a4", what);
         CHECK(tale.notes.broken().size() == 1);
         what.body = event_text("a4", 1) + event_text("a4", 2);
-        tale.notes.note_answer("a4", what);
+        tale.notes.note_asked("a4", what);
         CHECK(tale.notes.broken().empty());
     }
     SECTION("and a run after the key was taken away, or the upstream drained")
--- a/tests/soak/run.cpp
+++ b/tests/soak/run.cpp
@@ -222,7 +222,7 @@
         what.sent_at = clock_type::now();
         const std::string attempt =
             "a" + std::to_string(all.next_attempt.fetch_add(1));
-        all.notes.note_sent(attempt, what);
+        all.notes.note_asked(attempt, what);
         const reply answer = connection->ask(
             make_request(what.kind, attempt, what.key),
             patience_ms / 1000.0 + 1);
@@ -230,7 +230,7 @@
         what.complete = answer.complete;
         what.is_signed = !answer.message["Bergamotusher-Server-Seal"].empty();
         what.body = answer.message.body();
-        all.notes.note_answer(attempt, what);
+        all.notes.note_asked(attempt, what);
     }
 }
 
