--- a/tests/control/control_duty_test.cpp
+++ b/tests/control/control_duty_test.cpp
@@ -119,8 +119,7 @@
             *all.members[leader]->proposer,
             {i, "c" + std::to_string(i), now() + 10s});
     REQUIRE(wait_until_applied(all, leader, 600));
-    // Snapshots follow what was applied; until there is one, the log still
-    // holds what the node has missed.
+    // There is a snapshot to send.
     REQUIRE(wait_for(
         all.members[leader]->seen,
         5s,
@@ -131,7 +130,13 @@
         }));
     start_member(all, away);
     CHECK(wait_until_applied(all, away, 600));
-    CHECK(status_of(*all.members[away]->control).snapshots_installed == 1);
+    // The state is seen a moment before the status that counts it.
+    const auto installed = [&]
+    {
+        return status_of(*all.members[away]->control).snapshots_installed;
+    };
+    wait_for(all.members[away]->seen, 5s, [&] { return installed() > 0; });
+    CHECK(installed() == 1);
     stop_all(all);
 }
 
