One sender for each directory and site update at hundreds of machines

With 0.15 of a core they neither acknowledged configurations nor renewed leases, and one exceeded its memory seven times. The allowances of all accounts were summed over all entries for each report, and directories of control nodes and entries differed for 30 s after each upstream that had left, since they forgot it at different times.

Ruled out: the size of the configuration, and the rate of announcements (15 to 45 a second at a node).

Now the node that hears of a change tells all, new upstreams in batches; the leader repairs what was lost, the others by rank (src/site/entry_sync). The digest leaves out what is gone and covers domain, slots and market. Control nodes exchange directories by digest, so that one that restarted learns who has left. Entries keep what the leader confirms and drop what it no longer lists.

An entry gets at most six times the bytes of the directory at a start of 320 upstreams (entry_sync_test).

--- a/src/admission/shared_limit.hpp
+++ b/src/admission/shared_limit.hpp
@@ -47,6 +47,8 @@
 struct use_ledger
 {
     std::map<node_id, std::map<std::uint64_t, reported_use>> entries;
+    /// Sum over all reports, by account.
+    std::map<account_id, double> reported;
 };
 
 /// Records a report of incarnation `incarnation` of `entry`, which has been
@@ -63,9 +65,21 @@
 void drop_expired_uses(
     use_ledger& ledger, const sharing_options& options, time_point now);
 
-/// The amount of the account's `total` that `entry` may have admitted within
-/// the window until its next report. `entries` is the number of entries that
-/// share the limit, including those that have not reported yet.
+/// The total limits of accounts that are shared.
+using account_totals = std::map<account_id, double>;
+
+/// The amount of each account's total that `entry` may have admitted within the
+/// window until its next report. `entries` is the number of entries that share
+/// the limits, including those that have not reported yet.
+account_totals allowances(
+    const use_ledger& ledger,
+    const sharing_options& options,
+    const node_id& entry,
+    const account_totals& totals,
+    std::uint32_t entries,
+    time_point now);
+
+/// The same for one account.
 double allowance(
     const use_ledger& ledger,
     const sharing_options& options,
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -16,6 +16,19 @@
 using observe::decision;
 using observe::log_line;
 
+/// Each node gets every n-th report. While the entry is not ready it reports
+/// often, so that it learns soon of the first node that answers; the nodes take
+/// turns then, since all entries do so at the same time when the control nodes
+/// are overloaded or have just started.
+std::uint64_t rounds_between_reports(
+    const control_link_options& options, bool is_ready, bool is_leader)
+{
+    if (!is_ready)
+        return static_cast<std::uint64_t>(std::max<std::int64_t>(
+            options.report_interval / options.unready_report_interval, 1));
+    return is_leader ? 1 : options.leader_reports_per_report;
+}
+
 } // namespace
 
 control_link::control_link(
@@ -104,12 +117,21 @@
         now + (ready(now) || draining_ ? options_.report_interval
                                        : options_.unready_report_interval);
     const std::string base_report = encode_report(now, false);
+    ++report_round_;
+    const bool is_urgent = draining_ || std::exchange(reports_to_all_, false);
+    std::size_t index = 0;
     for (auto& [id, node] : nodes_)
     {
+        const bool is_leader = id == leader_;
+        const std::uint64_t rounds = rounds_between_reports(
+            options_, ready(now), is_leader);
+        const bool is_turn = (report_round_ + index++) % rounds == 0;
+        if (!is_turn && !is_urgent)
+            continue;
         if (node.last_report_at == time_point{})
             node.last_reply_at = now;
         node.last_report_at = now;
-        if (id == leader_)
+        if (is_leader)
             send_leader_report(now);
         else
             send_(id, base_report);
@@ -255,7 +277,10 @@
             // Control nodes list the entry for callers only after it reports
             // that it is ready, so it reports at once.
             if (!site_was_valid_)
+            {
                 next_report_at_ = now;
+                reports_to_all_ = true;
+            }
         }
     }
     if (!report.leader().empty() && report.leader() != leader_.value)
@@ -311,6 +336,8 @@
                 .with("share", known.share),
             now);
     }
+    if (report.directory_digest() == view_.directory.digest)
+        confirm_all(view_.directory, now);
     if (report.entries() > 0)
         view_.entries = report.entries();
     if (report.is_leader() && report.asked_at_us() != 0)
@@ -333,28 +360,33 @@
 
 void control_link::on_directory(const node_id& from, std::string_view bytes)
 {
-    const auto updates = site::decode_directory(bytes);
-    if (!updates)
+    const auto directory = site::decode_directory(bytes);
+    if (!directory)
         return;
     const time_point now = uptime();
     view_.awaiting_directory = false;
-    bool changed = false;
-    for (const site::upstream& each : *updates)
+    const std::uint64_t digest_before = view_.directory.digest;
+    std::set<upstream_id> listed;
+    for (const auto& [value, age] : directory->upstreams)
     {
-        if (merge(view_.directory, each, now) != site::merge_outcome::changed)
+        listed.insert(value.id);
+        if (merge(view_.directory, value, now, age) !=
+            site::merge_outcome::changed)
             continue;
-        changed = true;
         log_.write(
             log_line(decision::upstream_changed)
-                .with("upstream", each.id.value)
-                .with("service", each.service.value)
-                .with("address", each.address)
-                .with("state", to_name(each.state))
-                .with("sequence", each.sequence)
+                .with("upstream", value.id.value)
+                .with("service", value.service.value)
+                .with("address", value.address)
+                .with("state", to_name(value.state))
+                .with("sequence", value.sequence)
                 .with("from", from.value),
             now);
     }
-    if (changed)
+    if (directory->is_complete)
+        remove_unlisted(
+            view_.directory, listed, options_.unlisted_retention, now);
+    if (view_.directory.digest != digest_before)
         relay_.on_upstreams_changed();
 }
 
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -27,9 +27,13 @@
     std::vector<node_id> seeds;
     std::string caller_address;
     failure_domain domain;
-    /// Time between two reports to each control node.
+    /// Time between two reports to the leader.
     duration report_interval = 400ms;
-    /// The same while the entry has no site with a valid lease.
+    /// Reports to the leader for each report to another control node. Every
+    /// control node hears of all entries, and has a fraction of a core.
+    std::uint64_t leader_reports_per_report = 2;
+    /// Time between two reports, to one control node after the other, while the
+    /// entry has no site with a valid lease.
     duration unready_report_interval = 100ms;
     /// Requests with a key are accepted for this long after the last moment at
     /// which the site was known to be the newest. Operators bound it.
@@ -40,8 +44,11 @@
     admission::sharing_options limits;
     /// A control node that has not replied for this long is considered lost.
     duration node_timeout = 2s;
-    /// Upstreams that no control node has reported for this long are removed.
+    /// Upstreams that no control node has confirmed for this long are removed.
     duration upstream_retention = 60s;
+    /// Upstreams that the leader no longer lists are removed unless they were
+    /// announced within this time.
+    duration unlisted_retention = 5s;
     /// Length of a usage window; the control nodes have the same setting.
     duration usage_window = 5s;
     /// Number of past usage windows included in a report to the leader.
@@ -104,6 +111,9 @@
     time_point started_at_;
     time_point next_report_at_;
     time_point leader_reported_at_;
+    std::uint64_t report_round_ = 0;
+    /// The next report goes to all control nodes.
+    bool reports_to_all_ = true;
     bool draining_ = false;
     bool site_was_valid_ = false;
     /// The previous report to the leader, from which rates are computed.
--- /dev/null
+++ b/src/site/control_directory.cpp
@@ -0,0 +1,202 @@
+// The directory part of the control service: announcements of upstreams, and
+// telling them to the other control nodes and to entries.
+#include "base/clock.hpp"
+#include "site/control_service.hpp"
+#include "site/site_codec.hpp"
+
+#include <utility>
+
+namespace bergamotusher::site
+{
+
+using observe::decision;
+using observe::log_line;
+
+namespace
+{
+
+std::string encode_changes(const std::vector<upstream>& changes)
+{
+    directory_message message;
+    message.upstreams.reserve(changes.size());
+    for (const upstream& each : changes)
+        message.upstreams.push_back({each, {}});
+    return encode_directory(message);
+}
+
+} // namespace
+
+void control_service::announce(const upstream& announcement)
+{
+    const time_point now = uptime();
+    const merge_outcome outcome = merge(directory_, announcement, now);
+    if (outcome == merge_outcome::stale)
+        return;
+    if (outcome == merge_outcome::refreshed)
+    {
+        refreshed_upstreams_[announcement.id] = announcement;
+        return;
+    }
+    log_.write(
+        log_line(decision::upstream_changed)
+            .with("upstream", announcement.id.value)
+            .with("service", announcement.service.value)
+            .with("address", announcement.address)
+            .with("version", announcement.version.value)
+            .with("state", to_name(announcement.state))
+            .with("sequence", announcement.sequence)
+            .with("started_ms", announcement.started_ms)
+            .with("reclaimable", announcement.reclaimable ? 1 : 0)
+            .with("leaves_in_ms", announcement.leaves_in)
+            .with("from", "upstream"),
+        now);
+    // The upstream counts on an acknowledged drain, which must not be lost with
+    // this node.
+    if (announcement.state == upstream_state::ready)
+        broadcast_soon(announcement);
+    else
+        broadcast({announcement});
+}
+
+void control_service::withdraw(
+    const upstream_id& id, std::int64_t started_ms, std::uint64_t sequence)
+{
+    const time_point now = uptime();
+    if (!mark_gone(directory_, id, started_ms, sequence, now))
+        return;
+    log_.write(
+        log_line(decision::upstream_changed)
+            .with("upstream", id.value)
+            .with("state", "gone")
+            .with("from", "upstream"),
+        now);
+    broadcast({directory_.upstreams.at(id).value});
+}
+
+void control_service::broadcast(const std::vector<upstream>& updates)
+{
+    const std::string body = encode_changes(updates);
+    for (const node_id& node : control_nodes())
+        send(node, wire::site_directory, body);
+    for (const auto& [id, entry] : entries_)
+        send(id, wire::site_directory, body);
+}
+
+void control_service::broadcast_soon(const upstream& update)
+{
+    const bool is_scheduled = !pending_updates_.empty();
+    pending_updates_[update.id] = update;
+    if (is_scheduled)
+        return;
+    flush_timer_.expires_after(options_.announcement_batch_interval);
+    flush_timer_.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            if (!error)
+                flush_updates();
+        });
+}
+
+void control_service::flush_updates()
+{
+    std::vector<upstream> updates;
+    updates.reserve(pending_updates_.size());
+    for (auto& [id, each] : std::exchange(pending_updates_, {}))
+        updates.push_back(std::move(each));
+    broadcast(updates);
+}
+
+void control_service::share_refreshes(time_point now)
+{
+    directory_message message;
+    message.digest = directory_.digest;
+    message.upstreams.reserve(refreshed_upstreams_.size());
+    for (auto& [id, each] : std::exchange(refreshed_upstreams_, {}))
+        message.upstreams.push_back({std::move(each), {}});
+    // A node that has just started asks with its digest for the directories of
+    // the others: they also know which upstreams have left.
+    if (message.upstreams.empty() &&
+        now - started_at_ > options_.directory_warm_up)
+        return;
+    const std::string body = encode_directory(message);
+    for (const node_id& node : control_nodes())
+        send(node, wire::site_directory, body);
+}
+
+const std::string& control_service::full_directory(time_point now)
+{
+    constexpr duration max_age = 200ms;
+    if (full_directory_.empty() ||
+        full_directory_digest_ != directory_.digest ||
+        now - full_directory_at_ > max_age)
+    {
+        directory_message message = whole_directory(directory_, now);
+        message.is_complete =
+            is_leader_ && now - started_at_ > options_.directory_warm_up;
+        full_directory_ = encode_directory(message);
+        full_directory_digest_ = directory_.digest;
+        full_directory_at_ = now;
+    }
+    return full_directory_;
+}
+
+std::uint32_t control_service::rank_for(const node_id& entry) const
+{
+    return sync_rank(
+        options_.self,
+        entry,
+        is_leader_,
+        static_cast<std::uint32_t>(control_nodes().size()) + 1);
+}
+
+void control_service::send_directory_update(
+    const node_id& to, std::uint64_t digest, time_point now)
+{
+    const directory_update update = directory_update_for(
+        options_.entry_sync,
+        directory_,
+        digest,
+        rank_for(to),
+        entries_[to].sync,
+        now);
+    switch (update.scope)
+    {
+    case directory_update_scope::none:
+        return;
+    case directory_update_scope::changes:
+        return send(
+            to, wire::site_directory, encode_changes(update.changes));
+    case directory_update_scope::full:
+        return send(to, wire::site_directory, full_directory(now));
+    }
+}
+
+void control_service::on_directory(const incoming_message& message)
+{
+    const auto directory = decode_directory(message.body);
+    if (!directory)
+        return;
+    const time_point now = uptime();
+    for (const auto& [value, age] : directory->upstreams)
+        if (merge(directory_, value, now, age) == merge_outcome::changed)
+            log_.write(
+                log_line(decision::upstream_changed)
+                    .with("upstream", value.id.value)
+                    .with("state", to_name(value.state))
+                    .with("sequence", value.sequence)
+                    .with("from", message.from.value),
+                now);
+    // Entries were told by the sender. Those that miss a change get it with the
+    // reply to their next report.
+    const bool is_refresh = !directory->is_complete && directory->digest != 0;
+    const bool asks = is_refresh || directory->upstreams.empty();
+    if (asks && should_send_directory(
+                    options_.entry_sync,
+                    directory_,
+                    directory->digest,
+                    directory_shared_at_[message.from],
+                    now))
+        send(message.from, wire::site_directory, full_directory(now));
+}
+
+} // namespace bergamotusher::site
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -22,8 +22,7 @@
 
 /// Interval of the periodic work.
 constexpr duration tick_interval = 250ms;
-/// Interval at which announcements of unchanged upstreams are forwarded to the
-/// other control nodes.
+/// Interval of the housekeeping of what upstreams and entries told.
 constexpr duration refresh_interval = 1s;
 /// An entry is counted for sharing rate limits for this long after its last
 /// report.
@@ -47,6 +46,8 @@
     , store_(
           parse,
           [this] { boost::asio::post(loop_, [this] { on_state_changed(); }); })
+    , flush_timer_(loop)
+    , started_at_(uptime())
 {
 }
 
@@ -158,12 +159,22 @@
     site_ = store_.read();
     const time_point now = uptime();
     if (site_.version != version_before)
+    {
+        site_applied_at_ = now;
+        limit_totals_.clear();
+        const auto accounts = site_.current ? site_.current->value.accounts
+                                            : std::vector<account>{};
+        for (const account& each : accounts)
+            if (each.rate > 0)
+                limit_totals_[each.name] = admission::window_total(
+                    options_.limits.bound, each.rate, each.burst);
         log_.write(
             log_line(decision::site_changed)
                 .with("version", site_.version)
                 .with("before", version_before)
                 .with("applied", site_.applied),
             now);
+    }
     if (site_.moves != moves_before)
         for (const auto& [service, move] : site_.moves)
             log_.write(
@@ -250,84 +261,6 @@
     return store_.read();
 }
 
-void control_service::announce(const upstream& announcement)
-{
-    const time_point now = uptime();
-    const merge_outcome outcome = merge(directory_, announcement, now);
-    if (outcome == merge_outcome::stale)
-        return;
-    if (outcome == merge_outcome::refreshed)
-    {
-        refreshed_upstreams_[announcement.id] = announcement;
-        return;
-    }
-    log_.write(
-        log_line(decision::upstream_changed)
-            .with("upstream", announcement.id.value)
-            .with("service", announcement.service.value)
-            .with("address", announcement.address)
-            .with("version", announcement.version.value)
-            .with("state", to_name(announcement.state))
-            .with("sequence", announcement.sequence)
-            .with("started_ms", announcement.started_ms)
-            .with("reclaimable", announcement.reclaimable ? 1 : 0)
-            .with("leaves_in_ms", announcement.leaves_in)
-            .with("from", "upstream"),
-        now);
-    broadcast({announcement}, {});
-}
-
-void control_service::withdraw(
-    const upstream_id& id, std::int64_t started_ms, std::uint64_t sequence)
-{
-    const time_point now = uptime();
-    if (!mark_gone(directory_, id, started_ms, sequence, now))
-        return;
-    log_.write(
-        log_line(decision::upstream_changed)
-            .with("upstream", id.value)
-            .with("state", "gone")
-            .with("from", "upstream"),
-        now);
-    broadcast({directory_.upstreams.at(id).value}, {});
-}
-
-void control_service::broadcast(
-    const std::vector<upstream>& updates, const node_id& except)
-{
-    const std::string body = encode_directory(updates);
-    const std::set<node_id> nodes = control_nodes();
-    // Updates from another control node were sent to the others by that node.
-    if (except.empty())
-        for (const node_id& node : nodes)
-            send(node, wire::site_directory, body);
-    for (const auto& [id, entry] : entries_)
-        send(id, wire::site_directory, body);
-}
-
-void control_service::on_directory(const incoming_message& message)
-{
-    const auto updates = decode_directory(message.body);
-    if (!updates)
-        return;
-    const time_point now = uptime();
-    std::vector<upstream> changed;
-    for (const upstream& each : *updates)
-        if (merge(directory_, each, now) == merge_outcome::changed)
-        {
-            changed.push_back(each);
-            log_.write(
-                log_line(decision::upstream_changed)
-                    .with("upstream", each.id.value)
-                    .with("state", to_name(each.state))
-                    .with("sequence", each.sequence)
-                    .with("from", message.from.value),
-                now);
-        }
-    if (!changed.empty())
-        broadcast(changed, message.from);
-}
-
 void control_service::on_entry_report(const incoming_message& message)
 {
     pb::entry_report report;
@@ -384,10 +317,7 @@
                 each.prompt_rate()};
     }
     send_report(message.from, report.asked_at_us());
-    const auto updates = updates_for(
-        directory_, report.directory_digest(), entry.directory_sent_at, now);
-    if (!updates.empty())
-        send(message.from, wire::site_directory, encode_directory(updates));
+    send_directory_update(message.from, report.directory_digest(), now);
 }
 
 void control_service::send_report(const node_id& to, std::int64_t asked_at_us)
@@ -401,8 +331,16 @@
     const auto age = confirmed_age(now);
     report.set_confirmed_age_us(age && asked_at_us != 0 ? age->count() : -1);
     report.set_site_version(site_.version);
-    if (entry.site_version < site_.version && site_.content)
+    if (site_.content && should_send_site(
+                             options_.entry_sync,
+                             site_.version,
+                             site_applied_at_,
+                             entry.site_version,
+                             rank_for(to),
+                             entry.sync,
+                             now))
         report.set_site(*site_.content);
+    report.set_directory_digest(directory_.digest);
     report.set_leader(status.leader.value);
     for (const node_id& node : control_nodes())
         report.add_members(node.value);
@@ -415,28 +353,21 @@
             ++entries;
     report.set_entries(entries);
     report.set_is_leader(is_leader_);
-    if (is_leader_ && site_.current && limit_usage_.entries.count(to) > 0)
-        for (const account& each : site_.current->value.accounts)
+    if (is_leader_ && limit_usage_.entries.count(to) > 0)
+        for (const auto& [account, allowed] : admission::allowances(
+                 limit_usage_,
+                 options_.limits,
+                 to,
+                 limit_totals_,
+                 entries,
+                 now))
         {
-            if (each.rate <= 0)
-                continue;
             pb::account_amount& amount = *report.add_allowances();
-            amount.set_account(each.name.value);
-            amount.set_amount(allowance(
-                limit_usage_,
-                options_.limits,
-                to,
-                each.name,
-                admission::window_total(
-                    options_.limits.bound, each.rate, each.burst),
-                entries,
-                now));
+            amount.set_account(account.value);
+            amount.set_amount(allowed);
         }
     if (is_leader_)
-        for (const upstream_id& id : find_silent(
-                 directory_,
-                 options_.announcement_interval * max_missed_announcements,
-                 now))
+        for (const upstream_id& id : silent_upstreams_)
             report.add_silent_upstreams(id.value);
     send(to, wire::control_report, report.SerializeAsString());
 }
@@ -445,20 +376,14 @@
 {
     const time_point now = uptime();
     update_leadership();
+    silent_upstreams_ = find_silent(
+        directory_,
+        options_.announcement_interval * max_missed_announcements,
+        now);
     if (now - refreshes_sent_at_ >= refresh_interval)
     {
         refreshes_sent_at_ = now;
-        std::vector<upstream> updates;
-        updates.reserve(refreshed_upstreams_.size());
-        for (auto& [id, each] : refreshed_upstreams_)
-            updates.push_back(std::move(each));
-        refreshed_upstreams_.clear();
-        if (!updates.empty())
-        {
-            const std::string body = encode_directory(updates);
-            for (const node_id& node : control_nodes())
-                send(node, wire::site_directory, body);
-        }
+        share_refreshes(now);
         remove_expired(directory_, options_.retention, now);
         drop_expired_uses(limit_usage_, options_.limits, now);
         for (auto i = entries_.begin(); i != entries_.end();)
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -13,6 +13,7 @@
 #include "daemon/control_duty.hpp"
 #include "daemon/peers_duty.hpp"
 #include "observe/decision_log.hpp"
+#include "site/entry_sync.hpp"
 #include "site/move_policy.hpp"
 #include "site/rent_policy.hpp"
 #include "site/site_store.hpp"
@@ -100,6 +101,13 @@
     /// Time a new leader waits before it performs a duty that an earlier leader
     /// may still be performing.
     duration duty_handover_delay = 3s;
+    /// Changes that add an upstream or alter a ready one are told together at
+    /// this interval: at a start hundreds announce themselves within a second.
+    duration announcement_batch_interval = 50ms;
+    /// A node that has run for this long has heard of every live upstream, and
+    /// so may tell entries which ones no longer exist.
+    duration directory_warm_up = 8s;
+    entry_sync_options entry_sync;
     admission::sharing_options limits;
     usage_options usage;
     move_options moves;
@@ -116,7 +124,7 @@
     std::uint64_t site_version = 0;
     bool ready = false;
     time_point heard_at;
-    time_point directory_sent_at;
+    entry_sync_state sync;
 };
 
 class control_service
@@ -178,7 +186,17 @@
     void on_proposal_answer(const proposal_answer& answer);
     void on_entry_report(const incoming_message& message);
     void on_directory(const incoming_message& message);
-    void broadcast(const std::vector<upstream>& updates, const node_id& except);
+    /// Tells the other control nodes and all entries.
+    void broadcast(const std::vector<upstream>& updates);
+    void broadcast_soon(const upstream& update);
+    void flush_updates();
+    /// Sends the announcements without changes to the other control nodes, so
+    /// that all of them know which upstreams are alive.
+    void share_refreshes(time_point now);
+    void send_directory_update(
+        const node_id& to, std::uint64_t digest, time_point now);
+    const std::string& full_directory(time_point now);
+    std::uint32_t rank_for(const node_id& entry) const;
     void send_report(const node_id& to, std::int64_t asked_at_us);
     void update_leadership();
     void run_leader_duties(time_point now);
@@ -209,6 +227,17 @@
     /// Unchanged upstreams announced to this node since the last refresh was
     /// sent to the other control nodes.
     std::map<upstream_id, upstream> refreshed_upstreams_;
+    /// Changes that are told with the next flush.
+    std::map<upstream_id, upstream> pending_updates_;
+    boost::asio::steady_timer flush_timer_;
+    time_point started_at_;
+    /// The encoded directory, and the digest for which it was made.
+    std::string full_directory_;
+    std::uint64_t full_directory_digest_ = 0;
+    time_point full_directory_at_;
+    /// When the full directory was last sent to each control node.
+    std::map<node_id, time_point> directory_shared_at_;
+    time_point site_applied_at_;
     std::map<node_id, known_entry> entries_;
     time_point refreshes_sent_at_;
 
@@ -224,6 +253,11 @@
     rent_state rent_state_;
     std::map<entry_incarnation, std::unique_ptr<entry_load>> entry_loads_;
     admission::use_ledger limit_usage_;
+    /// The limits of the accounts in the site in force.
+    admission::account_totals limit_totals_;
+    /// Upstreams that no control node has heard from lately, as of the last
+    /// tick.
+    std::vector<upstream_id> silent_upstreams_;
     std::map<service_name, std::uint64_t> judged_moves_;
     time_point next_rent_at_;
 };
--- a/src/site/site_codec.cpp
+++ b/src/site/site_codec.cpp
@@ -1,5 +1,7 @@
 #include "site/site_codec.hpp"
 
+#include <algorithm>
+
 namespace bergamotusher::site
 {
 
@@ -66,24 +68,45 @@
     return to;
 }
 
-std::string encode_directory(const std::vector<upstream>& upstreams)
+std::string encode_directory(const directory_message& message)
 {
-    pb::directory_news message;
-    for (const upstream& each : upstreams)
-        write(*message.add_upstreams(), each);
-    return message.SerializeAsString();
+    pb::directory_news encoded;
+    for (const forwarded_announcement& each : message.upstreams)
+    {
+        pb::upstream_value& value = *encoded.add_upstreams();
+        write(value, each.value);
+        value.set_age_ms(static_cast<std::uint32_t>(each.age / 1ms));
+    }
+    encoded.set_digest(message.digest);
+    encoded.set_is_complete(message.is_complete);
+    return encoded.SerializeAsString();
 }
 
-std::optional<std::vector<upstream>> decode_directory(std::string_view bytes)
+std::optional<directory_message> decode_directory(std::string_view bytes)
 {
-    pb::directory_news message;
-    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    pb::directory_news encoded;
+    if (!encoded.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return std::nullopt;
-    std::vector<upstream> values;
-    for (const pb::upstream_value& each : message.upstreams())
+    directory_message message;
+    message.digest = encoded.digest();
+    message.is_complete = encoded.is_complete();
+    for (const pb::upstream_value& each : encoded.upstreams())
         if (auto value = read(each))
-            values.push_back(std::move(*value));
-    return values;
+            message.upstreams.push_back(
+                {std::move(*value), std::chrono::milliseconds(each.age_ms())});
+    return message;
+}
+
+directory_message
+whole_directory(const upstream_directory& directory, time_point now)
+{
+    directory_message message;
+    message.digest = directory.digest;
+    message.upstreams.reserve(directory.upstreams.size());
+    for (const auto& [id, each] : directory.upstreams)
+        message.upstreams.push_back(
+            {each.value, std::max(now - each.heard_at, duration{})});
+    return message;
 }
 
 } // namespace bergamotusher::site
--- a/src/site/site_codec.hpp
+++ b/src/site/site_codec.hpp
@@ -20,9 +20,29 @@
 /// Returns nothing if the state is not a known `upstream_state`.
 std::optional<upstream> read(const wire::site::upstream_value& from);
 
-std::string encode_directory(const std::vector<upstream>& upstreams);
+struct forwarded_announcement
+{
+    upstream value;
+    /// Time since the sender heard of the upstream.
+    duration age{};
+};
+
+/// Upstreams that one node tells another.
+struct directory_message
+{
+    std::vector<forwarded_announcement> upstreams;
+    /// Digest of the sender's directory; 0 if it is not told.
+    std::uint64_t digest = 0;
+    /// The message lists every upstream that the sender knows.
+    bool is_complete = false;
+};
+
+std::string encode_directory(const directory_message& message);
+/// All upstreams of the directory, those that are gone included.
+directory_message
+whole_directory(const upstream_directory& directory, time_point now);
 /// Returns nothing if the message cannot be parsed. Leaves out upstreams with
 /// an unknown state.
-std::optional<std::vector<upstream>> decode_directory(std::string_view bytes);
+std::optional<directory_message> decode_directory(std::string_view bytes);
 
 } // namespace bergamotusher::site
--- a/src/site/upstream_directory.cpp
+++ b/src/site/upstream_directory.cpp
@@ -18,15 +18,33 @@
 /// Covers what nodes must agree on, not when or how often it was announced.
 std::uint64_t digest_of(const upstream& value)
 {
+    if (value.state == upstream_state::gone)
+        return 0;
     const std::hash<std::string> text;
     std::size_t digest = text(value.id.value);
     digest = hash_combine(digest, text(value.service.value));
     digest = hash_combine(digest, text(value.address));
+    digest = hash_combine(digest, text(value.domain.value));
     digest = hash_combine(digest, text(value.version.value));
+    digest = hash_combine(digest, value.slots);
+    digest = hash_combine(digest, value.reclaimable ? 1 : 0);
     digest = hash_combine(digest, static_cast<std::size_t>(value.state));
     return hash_combine(digest, static_cast<std::size_t>(value.started_ms));
 }
 
+/// Replaces the share of one upstream in the directory's digest.
+void update_digest(
+    upstream_directory& directory,
+    std::uint64_t before,
+    std::uint64_t after,
+    time_point now)
+{
+    if (before == after)
+        return;
+    directory.digest ^= before ^ after;
+    directory.changed_at = now;
+}
+
 bool same_facts(const upstream& a, const upstream& b)
 {
     return std::tie(a.service, a.address, a.domain, a.version, a.slots) ==
@@ -52,23 +70,27 @@
 } // namespace
 
 merge_outcome merge(
-    upstream_directory& directory, const upstream& announcement, time_point now)
+    upstream_directory& directory,
+    const upstream& announcement,
+    time_point now,
+    duration age)
 {
     const auto found = directory.upstreams.find(announcement.id);
     if (found == directory.upstreams.end())
     {
         directory.upstreams.emplace(
-            announcement.id, known_upstream{announcement, now, now});
-        directory.digest ^= digest_of(announcement);
+            announcement.id, known_upstream{announcement, now - age, now});
+        update_digest(directory, 0, digest_of(announcement), now);
         return merge_outcome::changed;
     }
     known_upstream& known = found->second;
     if (!is_newer(announcement, known.value))
         return merge_outcome::stale;
     const bool same = same_facts(announcement, known.value);
-    directory.digest ^= digest_of(known.value) ^ digest_of(announcement);
+    update_digest(
+        directory, digest_of(known.value), digest_of(announcement), now);
     known.value = announcement;
-    known.heard_at = now;
+    known.heard_at = std::max(known.heard_at, now - age);
     if (same)
         return merge_outcome::refreshed;
     known.changed_at = now;
@@ -105,7 +127,7 @@
             ++i;
             continue;
         }
-        directory.digest ^= digest_of(i->second.value);
+        update_digest(directory, digest_of(i->second.value), 0, now);
         i = directory.upstreams.erase(i);
     }
 }
@@ -121,33 +143,28 @@
     return found;
 }
 
-std::vector<upstream> updates_for(
-    const upstream_directory& directory,
-    std::uint64_t digest,
-    time_point& full_sent_at,
-    time_point now)
+void confirm_all(upstream_directory& directory, time_point now)
 {
-    if (digest == directory.digest)
-        return {};
-    if (now - full_sent_at > full_directory_interval)
-    {
-        full_sent_at = now;
-        return all_announcements(directory);
-    }
-    std::vector<upstream> recent;
-    for (const auto& [id, each] : directory.upstreams)
-        if (now - each.changed_at < recent_change_window)
-            recent.push_back(each.value);
-    return recent;
+    for (auto& [id, each] : directory.upstreams)
+        each.heard_at = now;
 }
 
-std::vector<upstream> all_announcements(const upstream_directory& directory)
+void remove_unlisted(
+    upstream_directory& directory,
+    const std::set<upstream_id>& listed,
+    duration keep,
+    time_point now)
 {
-    std::vector<upstream> values;
-    values.reserve(directory.upstreams.size());
-    for (const auto& [id, each] : directory.upstreams)
-        values.push_back(each.value);
-    return values;
+    for (auto i = directory.upstreams.begin(); i != directory.upstreams.end();)
+    {
+        if (listed.count(i->first) > 0 || now - i->second.heard_at < keep)
+        {
+            ++i;
+            continue;
+        }
+        update_digest(directory, digest_of(i->second.value), 0, now);
+        i = directory.upstreams.erase(i);
+    }
 }
 
 } // namespace bergamotusher::site
--- a/src/site/upstream_directory.hpp
+++ b/src/site/upstream_directory.hpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -70,9 +71,12 @@
 struct upstream_directory
 {
     std::map<upstream_id, known_upstream> upstreams;
-    /// Digest over what all nodes must agree on; equal directories have equal
-    /// digests.
+    /// Digest over the facts of all upstreams that are not gone; directories
+    /// that offer the same upstreams have equal digests. Upstreams that are
+    /// gone are left out because nodes forget them at different times.
     std::uint64_t digest = 0;
+    /// When `digest` last changed here.
+    time_point changed_at;
 };
 
 /// Result of merging an announcement.
@@ -95,11 +99,14 @@
         row{merge_outcome::changed, "changed"}};
 }
 
-/// Merges an announcement into the directory.
+/// Merges an announcement into the directory. `age` is the time since the node
+/// that forwards it heard of the upstream, so that an upstream which crashed
+/// does not seem alive because nodes tell each other of it.
 merge_outcome merge(
     upstream_directory& directory,
     const upstream& announcement,
-    time_point now);
+    time_point now,
+    duration age = {});
 
 /// Marks an upstream as gone after its notice of departure; returns true if
 /// that changed the directory. `started_ms` is 0 if the notice does not name
@@ -120,23 +127,17 @@
 std::vector<upstream_id> find_silent(
     const upstream_directory& directory, duration timeout, time_point now);
 
-/// The last announcements of all upstreams, including those that are gone.
-std::vector<upstream> all_announcements(const upstream_directory& directory);
-
-/// Shortest time between two full directories sent to one entry.
-inline constexpr duration full_directory_interval = 2s;
-/// Changes younger than this are sent again with each report of an entry whose
-/// directory differs: the first message may be lost, for example to a peer that
-/// is not connected yet, and a drain must be known within 2 s.
-inline constexpr duration recent_change_window = 6s;
-
-/// The announcements to send to an entry that reported `digest`: none if its
-/// directory is the same, all if the last full directory was sent long enough
-/// before (`full_sent_at` is then set to `now`), else the recent changes.
-std::vector<upstream> updates_for(
-    const upstream_directory& directory,
-    std::uint64_t digest,
-    time_point& full_sent_at,
+
+/// Records that another node has the same directory: all upstreams in it are
+/// still known there.
+void confirm_all(upstream_directory& directory, time_point now);
+
+/// Removes the upstreams that are not in `listed`, which are all that another
+/// node knows, unless an announcement was merged here within `keep`.
+void remove_unlisted(
+    upstream_directory& directory,
+    const std::set<upstream_id>& listed,
+    duration keep,
     time_point now);
 
 } // namespace bergamotusher::site
