Learn the prefill speed of a service's engines

Cause: placement and renting assumed 22 prompt tokens a millisecond. Entries learn from first tokens, the leader takes the median and gives it to entries that have just started.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -221,6 +221,9 @@
             static_cast<double>(counts.prefill_tokens - before.prefill_tokens) /
             seconds);
         before = counts;
+        const routing::prefill_speed& speed = view_.prefill_speeds[service];
+        load.set_prefill_speed(speed.tokens_per_ms);
+        load.set_prefill_samples(speed.samples);
     }
     return report.SerializeAsString();
 }
@@ -347,6 +350,11 @@
             view_.allowances[{each.account()}] = each.amount();
         view_.allowances_at = time_point{duration(report.asked_at_us())};
     }
+    for (const pb::service_speed& each : report.speeds())
+        routing::adopt_shared_speed(
+            options_.prefill_speed,
+            view_.prefill_speeds[{each.service()}],
+            each.prefill_tokens_per_ms());
     if (report.is_leader())
     {
         std::set<std::string> silent(
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -53,6 +53,7 @@
     duration usage_window = 5s;
     /// Number of past usage windows included in a report to the leader.
     std::uint64_t usage_windows_reported = 7;
+    routing::prefill_speed_options prefill_speed;
     site::configuration_parser parse = nullptr;
 };
 
--- a/src/gateway/entry_view.hpp
+++ b/src/gateway/entry_view.hpp
@@ -76,6 +76,8 @@
     part_request_rates rates;
     std::map<tally_key, version_tally> tallies;
     std::map<service_name, service_counts> services;
+    /// What first tokens showed of the speed of each service's engines.
+    std::map<service_name, routing::prefill_speed> prefill_speeds;
     /// Length of a usage window; windows are aligned to the true time of day.
     duration usage_window = 5s;
     /// Requests whose answer began, by usage window and account.
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -74,6 +74,8 @@
             request.entries,
             now);
     const auto prompt = static_cast<double>(request.prompt_tokens);
+    const double speed =
+        routing::tokens_per_ms(options.prefill_speed, request.speed);
     // If no other upstream can be used, those that seem unreachable are tried.
     for (const bool last_resort : {false, true})
     {
@@ -97,10 +99,11 @@
                                 options.cache_prediction, query, *each, now)
                           : 0;
             const double uncached = std::max(prompt - cached, 0.0);
+            const double running_ms = options.running_cost_ms * running;
             const double predicted =
                 (static_cast<double>(each->own_uncached_tokens) + uncached) /
-                    options.prefill_tokens_per_ms +
-                options.running_cost_ms * running +
+                    speed +
+                running_ms +
                 current_lateness(options, *each, now);
             const double cost =
                 predicted +
@@ -115,6 +118,7 @@
                 best.uncached_tokens =
                     static_cast<std::uint64_t>(std::llround(uncached));
                 best.predicted_ms = predicted;
+                best.running_ms = running_ms;
             }
         }
         if (best.upstream != nullptr || best.all_full)
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -4,6 +4,7 @@
 
 #include "gateway/cache_prediction.hpp"
 #include "gateway/dialect.hpp"
+#include "routing/prefill_speed.hpp"
 #include "site/upstream_directory.hpp"
 
 #include <bergamotusher/time.hpp>
@@ -21,12 +22,11 @@
 /// Parameters of the cost model.
 struct placement_options
 {
-    /// Prompt tokens that an engine processes per millisecond while it also
-    /// generates tokens for other requests; this is half its rate without other
-    /// requests.
-    double prefill_tokens_per_ms = 22;
+    /// How fast engines process prompts while they also generate tokens for
+    /// other requests.
+    routing::prefill_speed_options prefill_speed;
     /// Time in ms that each running request adds to the first token of another
-    /// one: a few hundredths of a 6.35 ms engine step for each token processed.
+    /// one.
     double running_cost_ms = 2;
     /// Time constant of the decay of `lateness_ms`.
     duration lateness_decay_time = 1500ms;
@@ -91,6 +91,8 @@
     const part_request_rates* rates = nullptr;
     /// Number of entries that send to the same upstreams.
     std::uint32_t entries = 1;
+    /// What was learned of the service's engines.
+    routing::prefill_speed speed;
 };
 
 struct placement_choice
@@ -99,8 +101,10 @@
     /// Prompt tokens that the upstream is expected to process, not found in its
     /// cache.
     std::uint64_t uncached_tokens = 0;
-    /// Predicted time to the first token, in ms.
+    /// Predicted time to the first token, in ms, and the part of it that the
+    /// requests running at the upstream cause.
     double predicted_ms = 0;
+    double running_ms = 0;
     /// Some upstreams are ready, but all of them are full.
     bool all_full = false;
 };
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -233,6 +233,7 @@
     placement.tried = &req->tried;
     placement.rates = &view_.rates;
     placement.entries = view_.entries;
+    placement.speed = view_.prefill_speeds[req->service];
     return select_upstream(
         options_.placement,
         eligible_upstreams(view_, req->service, req->version_draw),
@@ -389,6 +390,7 @@
     req->version = upstream.value.version;
     req->uncached_tokens = choice.uncached_tokens;
     req->predicted_ms = choice.predicted_ms;
+    req->running_ms = choice.running_ms;
     req->first_byte_received = false;
     req->sent_at = now;
     req->tried.insert(upstream.value.id);
@@ -400,6 +402,7 @@
     req->is_streaming = false;
     ++upstream.own_running;
     upstream.own_uncached_tokens += choice.uncached_tokens;
+    req->queued_tokens = upstream.own_uncached_tokens;
     const site::service* service = find_service(*req->site, req->service);
     if (service != nullptr && service->engine && !req->facts.parts.empty())
         record_prompt(
--- a/src/gateway/relay_answers.cpp
+++ b/src/gateway/relay_answers.cpp
@@ -73,12 +73,19 @@
         upstream.own_uncached_tokens -=
             std::min(upstream.own_uncached_tokens, req->uncached_tokens);
         record_answer(upstream, req->answer.upstream_load, now);
+        const double latency_ms = to_seconds(now - req->sent_at) * per_mille;
         record_lateness(
             options_.placement,
             upstream,
-            to_seconds(now - req->sent_at) * per_mille - req->predicted_ms,
+            latency_ms - req->predicted_ms,
             true,
             now);
+        if (req->is_streaming)
+            routing::record_first_token(
+                options_.placement.prefill_speed,
+                view_.prefill_speeds[req->service],
+                static_cast<double>(req->queued_tokens),
+                latency_ms - req->running_ms);
     }
     if (!req->usage_counted && req->account != nullptr)
     {
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -41,7 +41,11 @@
     upstream_id last_upstream;
     version_name version;
     std::uint64_t uncached_tokens = 0;
+    /// Uncached prompt tokens that this entry had queued at the upstream with
+    /// this request.
+    std::uint64_t queued_tokens = 0;
     double predicted_ms = 0;
+    double running_ms = 0;
     bool first_byte_received = false;
     time_point sent_at;
 
--- a/src/site/control_directory.cpp
+++ b/src/site/control_directory.cpp
@@ -142,11 +142,7 @@
 
 std::uint32_t control_service::rank_for(const node_id& entry) const
 {
-    return sync_rank(
-        options_.self,
-        entry,
-        is_leader_,
-        static_cast<std::uint32_t>(control_nodes().size()) + 1);
+    return sync_rank(options_.self, control_nodes(), entry, is_leader_);
 }
 
 void control_service::send_directory_update(
--- a/src/site/control_duties.cpp
+++ b/src/site/control_duties.cpp
@@ -179,6 +179,7 @@
     for (const service& each : site_.current->value.services)
     {
         service_demand demand;
+        std::vector<routing::prefill_speed> speeds;
         for (const auto& [source, load] : entry_loads_)
         {
             const auto found = load->demands.find(each.name);
@@ -187,7 +188,13 @@
                 continue;
             demand.requests += found->second.requests;
             demand.prompt_tokens += found->second.prompt_tokens;
+            speeds.push_back(found->second.speed);
         }
+        const routing::prefill_speed median =
+            routing::median_speed(options_.rent.prefill_speed, std::move(speeds));
+        if (median.samples > 0)
+            prefill_speeds_[each.name] = median;
+        demand.speed = prefill_speeds_[each.name];
         for (const target_count& wanted : due_orders(
                  options_.rent, rent_state_, each, demand, directory_, now))
         {
@@ -212,6 +219,7 @@
                             .with("count", wanted.count)
                             .with("requests", demand.requests)
                             .with("prompt_rate", demand.prompt_tokens)
+                            .with("prefill_speed", demand.speed.tokens_per_ms)
                             .with("need", basis.need)
                             .with(
                                 "reclaimable_ready", basis.trusted_reclaimable)
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -314,7 +314,8 @@
         for (const pb::service_load& each : report.loads())
             load->demands[{each.service()}] = {
                 static_cast<double>(each.running() + each.waiting()),
-                each.prompt_rate()};
+                each.prompt_rate(),
+                {each.prefill_speed(), each.prefill_samples()}};
     }
     send_report(message.from, report.asked_at_us());
     send_directory_update(message.from, report.directory_digest(), now);
@@ -366,6 +367,15 @@
             amount.set_account(account.value);
             amount.set_amount(allowed);
         }
+    if (is_leader_)
+        for (const auto& [service, speed] : prefill_speeds_)
+        {
+            if (speed.samples <= 0)
+                continue;
+            pb::service_speed& learned = *report.add_speeds();
+            learned.set_service(service.value);
+            learned.set_prefill_tokens_per_ms(speed.tokens_per_ms);
+        }
     if (is_leader_)
         for (const upstream_id& id : silent_upstreams_)
             report.add_silent_upstreams(id.value);
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -251,6 +251,8 @@
     std::map<std::uint64_t, time_point> usage_sent_at_;
     std::set<std::uint64_t> delivered_windows_;
     rent_state rent_state_;
+    /// Speeds learned by the entries; only those that are known.
+    std::map<service_name, routing::prefill_speed> prefill_speeds_;
     std::map<entry_incarnation, std::unique_ptr<entry_load>> entry_loads_;
     admission::use_ledger limit_usage_;
     /// The limits of the accounts in the site in force.
--- a/src/site/entry_sync.cpp
+++ b/src/site/entry_sync.cpp
@@ -35,15 +35,23 @@
 
 std::uint32_t sync_rank(
     const node_id& self,
+    const std::set<node_id>& others,
     const node_id& entry,
-    bool is_leader,
-    std::uint32_t control_nodes)
+    bool is_leader)
 {
-    if (is_leader || control_nodes < 2)
+    if (is_leader)
         return 0;
-    const std::uint64_t spread =
-        mixed_hash(hash_of(self.value), hash_of(entry.value));
-    return 1 + static_cast<std::uint32_t>(spread % (control_nodes - 1));
+    const std::uint64_t entry_hash = hash_of(entry.value);
+    const auto order = [&](const node_id& node)
+    {
+        return mixed_hash(hash_of(node.value), entry_hash);
+    };
+    const std::uint64_t own_order = order(self);
+    return 1 + static_cast<std::uint32_t>(std::count_if(
+                   others.begin(),
+                   others.end(),
+                   [&](const node_id& other)
+                   { return order(other) < own_order; }));
 }
 
 directory_update directory_update_for(
--- a/src/site/entry_sync.hpp
+++ b/src/site/entry_sync.hpp
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace bergamotusher::site
@@ -78,14 +79,14 @@
     std::vector<upstream> changes;
 };
 
-/// The rank of a control node for an entry: 0 for the leader, else 1 to
-/// `control_nodes` - 1, spread evenly over the entries. Without a leader the
-/// nodes of rank 1 serve the entry first.
+/// The rank of the control node `self` for an entry: 0 for the leader, 1 and
+/// more for `self` among `others`, in an order that differs by entry, so that
+/// the work of a lost leader is spread over all of them.
 std::uint32_t sync_rank(
     const node_id& self,
+    const std::set<node_id>& others,
     const node_id& entry,
-    bool is_leader,
-    std::uint32_t control_nodes);
+    bool is_leader);
 
 /// Decides on the reply to a report with the directory digest `digest`, and
 /// records it in `state` as sent.
--- a/src/site/rent_policy.cpp
+++ b/src/site/rent_policy.cpp
@@ -13,46 +13,6 @@
 /// three failure domains.
 constexpr double min_planned_upstreams = 3;
 
-double update_peak_need(
-    const rent_options& options,
-    rent_state& state,
-    const service_name& service,
-    const service_demand& demand,
-    time_point now)
-{
-    auto& peaks = state.recent_peaks[service];
-    peaks.erase(
-        std::remove_if(
-            peaks.begin(),
-            peaks.end(),
-            [&](const auto& each) { return each.first <= now; }),
-        peaks.end());
-    // A new leader starts from the first demand reported, not from 0: otherwise
-    // it would look like a rise.
-    service_demand& planned =
-        state.planned_demand.emplace(service, demand).first->second;
-    if (planned.requests <= 0)
-        planned = demand;
-    planned.requests +=
-        options.demand_smoothing * (demand.requests - planned.requests);
-    planned.prompt_tokens += options.demand_smoothing *
-                             (demand.prompt_tokens - planned.prompt_tokens);
-    double current_need = std::max(
-        planned.requests / options.requests_per_upstream,
-        planned.prompt_tokens / options.prompt_tokens_per_upstream);
-    const auto initial = state.initial_on_demand.find(service);
-    if (demand.requests <= 0 && state.demand_since.count(service) == 0 &&
-        initial != state.initial_on_demand.end())
-        current_need =
-            std::max(current_need, static_cast<double>(initial->second));
-    // Drops values that are not above the new one: they can no longer be the
-    // peak. The front is the highest.
-    while (!peaks.empty() && peaks.back().second <= current_need)
-        peaks.pop_back();
-    peaks.emplace_back(now + options.peak_window, current_need);
-    return std::max(peaks.front().second, min_planned_upstreams);
-}
-
 bool is_live(
     const rent_options& options, const known_upstream& each, time_point now)
 {
@@ -73,6 +33,8 @@
     /// Reclaimable upstreams that went lately or are draining, by failure
     /// domain.
     std::map<failure_domain, std::uint32_t> leaving;
+    /// Slots of an upstream; 0 if unknown.
+    std::uint32_t median_slots = 0;
 
     std::uint32_t live_in(const failure_domain& domain, market paid_as) const
     {
@@ -90,6 +52,7 @@
 {
     rented_counts counts;
     std::map<failure_domain, std::uint32_t> trusted_by_domain;
+    std::vector<std::uint32_t> slots;
     for (const auto& [id, each] : directory.upstreams)
     {
         const upstream& value = each.value;
@@ -100,6 +63,7 @@
             const market paid_as =
                 value.reclaimable ? market::reclaimable : market::on_demand;
             ++counts.live[{value.domain, paid_as}];
+            slots.push_back(value.slots);
             if (value.reclaimable &&
                 now - each.changed_at >= options.trust_after)
             {
@@ -117,9 +81,64 @@
     }
     for (const auto& [domain, price] : terms.prices)
         counts.on_demand += counts.live_in(domain, market::on_demand);
+    if (!slots.empty())
+    {
+        const auto middle =
+            slots.begin() + static_cast<std::ptrdiff_t>(slots.size() / 2);
+        std::nth_element(slots.begin(), middle, slots.end());
+        counts.median_slots = *middle;
+    }
     return counts;
 }
 
+/// Concurrent requests planned for an upstream with `slots` slots.
+double planned_requests(const rent_options& options, std::uint32_t slots)
+{
+    return slots == 0 ? options.requests_per_upstream
+                      : std::max(options.slot_utilization * slots, 1.0);
+}
+
+double update_peak_need(
+    const rent_options& options,
+    rent_state& state,
+    const service_name& service,
+    const service_demand& demand,
+    const rented_counts& counts,
+    time_point now)
+{
+    auto& peaks = state.recent_peaks[service];
+    peaks.erase(
+        std::remove_if(
+            peaks.begin(),
+            peaks.end(),
+            [&](const auto& each) { return each.first <= now; }),
+        peaks.end());
+    // A new leader starts from the first demand reported, not from 0: otherwise
+    // it would look like a rise.
+    service_demand& planned =
+        state.planned_demand.emplace(service, demand).first->second;
+    if (planned.requests <= 0)
+        planned = demand;
+    planned.requests +=
+        options.demand_smoothing * (demand.requests - planned.requests);
+    planned.prompt_tokens += options.demand_smoothing *
+                             (demand.prompt_tokens - planned.prompt_tokens);
+    double current_need = std::max(
+        planned.requests / planned_requests(options, counts.median_slots),
+        planned.prompt_tokens / planned_prompt_rate(options, demand.speed));
+    const auto initial = state.initial_on_demand.find(service);
+    if (demand.requests <= 0 && state.demand_since.count(service) == 0 &&
+        initial != state.initial_on_demand.end())
+        current_need =
+            std::max(current_need, static_cast<double>(initial->second));
+    // Drops values that are not above the new one: they can no longer be the
+    // peak. The front is the highest.
+    while (!peaks.empty() && peaks.back().second <= current_need)
+        peaks.pop_back();
+    peaks.emplace_back(now + options.peak_window, current_need);
+    return std::max(peaks.front().second, min_planned_upstreams);
+}
+
 bool is_unavailable(
     const rent_state& state, const rent_key& key, time_point now)
 {
@@ -321,6 +340,14 @@
 
 } // namespace
 
+double planned_prompt_rate(
+    const rent_options& options, const routing::prefill_speed& speed)
+{
+    constexpr double ms_per_second = 1000;
+    return options.prefill_utilization * ms_per_second *
+           routing::tokens_per_ms(options.prefill_speed, speed);
+}
+
 std::vector<target_count> due_orders(
     const rent_options& options,
     rent_state& state,
@@ -335,7 +362,7 @@
         count_rented(options, *service.renting, directory, service.name, now);
     record_start(state, service.name, demand, counts, now);
     const rent_state::basis basis{
-        update_peak_need(options, state, service.name, demand, now),
+        update_peak_need(options, state, service.name, demand, counts, now),
         counts.trusted_reclaimable,
         counts.on_demand,
         reclaimed_lately(options, state, service.name, counts)};
--- a/src/site/rent_policy.hpp
+++ b/src/site/rent_policy.hpp
@@ -4,6 +4,7 @@
 // domain can be reclaimed at once.
 #pragma once
 
+#include "routing/prefill_speed.hpp"
 #include "site/site.hpp"
 #include "site/upstream_directory.hpp"
 
@@ -38,13 +39,16 @@
 
 struct rent_options
 {
-    /// Concurrent requests that one upstream serves within its target latency;
+    /// Fraction of an upstream's slots that are used at the planned load;
     /// beyond it decoding steps slow down and prompts queue.
+    double slot_utilization = 0.31;
+    /// Concurrent requests planned for an upstream that does not tell its
+    /// slots.
     double requests_per_upstream = 20;
-    /// Prompt tokens per second that one upstream processes within its target
-    /// latency: about half of the 22,000 that it reaches while it also decodes
-    /// for other requests.
-    double prompt_tokens_per_upstream = 13000;
+    /// Fraction of the learned prefill speed that is used at the planned load:
+    /// the rest keeps prompts from queueing for each other.
+    double prefill_utilization = 0.59;
+    routing::prefill_speed_options prefill_speed;
     /// Reclaimable upstreams ordered for each upstream needed, not counting
     /// those of one failure domain that may be reclaimed at once. They cost
     /// about a fifth of on-demand upstreams.
@@ -95,8 +99,14 @@
     double requests = 0;
     /// Prompt tokens per second that upstreams must process.
     double prompt_tokens = 0;
+    /// How fast one upstream processes prompts, as the entries have learned.
+    routing::prefill_speed speed;
 };
 
+/// Prompt tokens per second that one upstream processes at the planned load.
+double planned_prompt_rate(
+    const rent_options& options, const routing::prefill_speed& speed);
+
 /// The last order for one `rent_key`.
 struct rent_order
 {
--- a/tests/site/entry_sync_test.cpp
+++ b/tests/site/entry_sync_test.cpp
@@ -104,6 +104,20 @@
             send(i, true, {value});
     }
 
+    static node_id node_name(std::size_t index)
+    {
+        return {"node-" + std::to_string(index)};
+    }
+
+    std::set<node_id> names_of_others(std::size_t self) const
+    {
+        std::set<node_id> names;
+        for (std::size_t i = 0; i < control.size(); ++i)
+            if (i != self)
+                names.insert(node_name(i));
+        return names;
+    }
+
     void report(std::size_t from, std::size_t to)
     {
         control_node& node = control[to];
@@ -112,10 +126,10 @@
             node.directory,
             entries[from].directory.digest,
             sync_rank(
-                {"node-" + std::to_string(to)},
+                node_name(to),
+                names_of_others(to),
                 {"entry-" + std::to_string(from)},
-                to == 0,
-                static_cast<std::uint32_t>(control.size())),
+                to == 0),
             node.sync[from],
             now);
         if (update.scope == directory_update_scope::changes)
--- a/tests/site/rent_policy_test.cpp
+++ b/tests/site/rent_policy_test.cpp
@@ -166,7 +166,7 @@
             CHECK(
                 (platform.live_upstreams() -
                  platform.count(market::reclaimable, domain)) *
-                    platform.options.prompt_tokens_per_upstream >=
+                    planned_prompt_rate(platform.options, {}) >=
                 steady_demand.prompt_tokens);
     }
     SECTION("replaces reclaimed upstreams by on-demand ones when no "
@@ -178,7 +178,7 @@
         platform.run(8s, steady_demand);
         CHECK(
             platform.live_upstreams() *
-                platform.options.prompt_tokens_per_upstream >=
+                planned_prompt_rate(platform.options, {}) >=
             steady_demand.prompt_tokens);
         platform.reclaim("north");
         platform.run(8s, steady_demand);
@@ -187,7 +187,7 @@
         CHECK(platform.count(market::reclaimable) == 0);
         CHECK(
             platform.live_upstreams() *
-                platform.options.prompt_tokens_per_upstream >=
+                planned_prompt_rate(platform.options, {}) >=
             steady_demand.prompt_tokens);
     }
     SECTION("before any demand, replaces on-demand upstreams one for one")
@@ -237,7 +237,7 @@
                 platform.count(market::reclaimable, "north"),
                 platform.count(market::reclaimable, "west"));
         CHECK(
-            remaining * platform.options.prompt_tokens_per_upstream >=
+            remaining * planned_prompt_rate(platform.options, {}) >=
             platform.options.insured_fraction_after_reclaim *
                 steady_demand.prompt_tokens);
     }
@@ -253,7 +253,7 @@
         const double remaining = platform.live_upstreams() -
                                  static_cast<double>(platform.crashed.size());
         CHECK(
-            remaining * platform.options.prompt_tokens_per_upstream >=
+            remaining * planned_prompt_rate(platform.options, {}) >=
             steady_demand.prompt_tokens);
     }
     SECTION(
@@ -264,7 +264,7 @@
         platform.run(9s, increased_demand);
         CHECK(
             platform.live_upstreams() *
-                platform.options.prompt_tokens_per_upstream >=
+                planned_prompt_rate(platform.options, {}) >=
             increased_demand.prompt_tokens);
     }
     SECTION("keeps reclaimable upstreams when the demand falls by a quarter")
