Fit a line to first tokens: time without prefill, and speed

Cause: the median of tokens by time took the fixed time of small prompts for slow prefill (40 tokens a ms where the slope is 60 to 75). Predictions include the fixed time.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -224,6 +224,7 @@
         const routing::prefill_speed& speed = view_.prefill_speeds[service];
         load.set_prefill_speed(speed.tokens_per_ms);
         load.set_prefill_samples(speed.samples);
+        load.set_fixed_ms(speed.fixed_ms);
     }
     return report.SerializeAsString();
 }
@@ -351,10 +352,16 @@
         view_.allowances_at = time_point{duration(report.asked_at_us())};
     }
     for (const pb::service_speed& each : report.speeds())
+    {
+        routing::prefill_speed shared;
+        shared.tokens_per_ms = each.prefill_tokens_per_ms();
+        shared.fixed_ms = each.fixed_ms();
+        shared.samples = each.samples();
         routing::adopt_shared_speed(
             options_.prefill_speed,
             view_.prefill_speeds[{each.service()}],
-            each.prefill_tokens_per_ms());
+            shared);
+    }
     if (report.is_leader())
     {
         std::set<std::string> silent(
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -74,8 +74,6 @@
             request.entries,
             now);
     const auto prompt = static_cast<double>(request.prompt_tokens);
-    const double speed =
-        routing::tokens_per_ms(options.prefill_speed, request.speed);
     // If no other upstream can be used, those that seem unreachable are tried.
     for (const bool last_resort : {false, true})
     {
@@ -101,8 +99,11 @@
             const double uncached = std::max(prompt - cached, 0.0);
             const double running_ms = options.running_cost_ms * running;
             const double predicted =
-                (static_cast<double>(each->own_uncached_tokens) + uncached) /
-                    speed +
+                routing::first_token_ms(
+                    options.prefill_speed,
+                    request.speed,
+                    static_cast<double>(each->own_uncached_tokens) +
+                        uncached) +
                 running_ms +
                 current_lateness(options, *each, now);
             const double cost =
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -312,10 +312,15 @@
                 each.good(), each.bad(), each.timed(), each.log_sum()};
         load->demands.clear();
         for (const pb::service_load& each : report.loads())
-            load->demands[{each.service()}] = {
-                static_cast<double>(each.running() + each.waiting()),
-                each.prompt_rate(),
-                {each.prefill_speed(), each.prefill_samples()}};
+        {
+            service_demand& demand = load->demands[{each.service()}];
+            demand.requests =
+                static_cast<double>(each.running() + each.waiting());
+            demand.prompt_tokens = each.prompt_rate();
+            demand.speed.tokens_per_ms = each.prefill_speed();
+            demand.speed.fixed_ms = each.fixed_ms();
+            demand.speed.samples = each.prefill_samples();
+        }
     }
     send_report(message.from, report.asked_at_us());
     send_directory_update(message.from, report.directory_digest(), now);
@@ -375,6 +380,8 @@
             pb::service_speed& learned = *report.add_speeds();
             learned.set_service(service.value);
             learned.set_prefill_tokens_per_ms(speed.tokens_per_ms);
+            learned.set_fixed_ms(speed.fixed_ms);
+            learned.set_samples(speed.samples);
         }
     if (is_leader_)
         for (const upstream_id& id : silent_upstreams_)
--- a/tests/site/rent_policy_test.cpp
+++ b/tests/site/rent_policy_test.cpp
@@ -314,7 +314,7 @@
     simulated_platform platform = platform_with_18_upstreams();
     service_demand demand = steady_demand;
     demand.requests = 10;
-    demand.speed = {tokens_per_ms, 1000};
+    demand.speed.tokens_per_ms = tokens_per_ms;
     platform.run(60s, demand);
 
     const double capacity = planned_prompt_rate(platform.options, demand.speed);
