Recover sooner: messages wait for a fresh connection

Now messages wait up to 0.5 s for a connection that has just been opened, a restarted node gets a new one, a node whose state becomes confirmed tells the entries at once, and an entry waits for a directory that is settled before it refuses for want of an upstream.

--- a/src/daemon/peers_duty.cpp
+++ b/src/daemon/peers_duty.cpp
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <cerrno>
 #include <chrono>
+#include <deque>
 #include <fstream>
 #include <map>
 #include <mutex>
@@ -16,6 +17,7 @@
 #include <sys/eventfd.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace bergamotusher
 {
@@ -25,6 +27,13 @@
 
 constexpr int reconnect_ms = 100;
 constexpr int max_reconnect_ms = 1000;
+/// With open membership, messages to a node wait this long for the connection
+/// that was opened for the first of them: after a start of many nodes, replies
+/// and votes would be lost otherwise.
+constexpr duration first_connect_time = 500ms;
+/// Interval at which waiting messages are tried again.
+constexpr std::chrono::milliseconds waiting_retry_interval{10};
+constexpr std::size_t max_waiting_messages = 1024;
 /// Minimum time between two searches for idle connections.
 constexpr duration idle_check_interval = 5s;
 /// Maximum number of connections to other nodes with open membership; the
@@ -84,6 +93,16 @@
     std::map<node_id, time_point> last_sent_at;
     time_point next_idle_check;
     std::map<node_id, std::uint64_t> incarnations;
+    /// With open membership, when the connection to each node was opened, and
+    /// the encoded messages that wait for it.
+    std::map<node_id, time_point> opened_at;
+    struct waiting_message
+    {
+        node_id to;
+        wire::message_kind kind = wire::unspecified;
+        std::string bytes;
+    };
+    std::deque<waiting_message> waiting;
 
     std::thread thread;
     std::atomic<bool> stopping{false};
@@ -233,7 +252,13 @@
 bool is_newest(peers_duty& duty, const incoming_message& message)
 {
     std::uint64_t& newest = duty.incarnations[message.from];
+    const bool has_restarted =
+        newest != 0 && message.incarnation > newest;
     newest = std::max(newest, message.incarnation);
+    // A connection that is being restored waits between its attempts; a new one
+    // connects at once.
+    if (has_restarted && duty.options.open_membership)
+        duty.dealers.erase(message.from);
     return newest == message.incarnation;
 }
 
@@ -309,6 +334,7 @@
             }
             duty.dealers.erase(i->first);
             duty.incarnations.erase(i->first);
+            duty.opened_at.erase(i->first);
             i = duty.last_sent_at.erase(i);
         }
     }
@@ -318,6 +344,7 @@
     try
     {
         open_dealer(duty, {to, to.value, {}});
+        duty.opened_at[to] = now;
     }
     catch (const zmq::error_t&)
     {
@@ -327,6 +354,27 @@
     }
 }
 
+bool try_send(
+    peers_duty& duty,
+    const node_id& to,
+    wire::message_kind kind,
+    const std::string& bytes)
+{
+    const auto dealer = duty.dealers.find(to);
+    if (dealer == duty.dealers.end() ||
+        !dealer->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait))
+        return false;
+    count_message(duty.sent[kind], bytes.size());
+    return true;
+}
+
+bool is_connecting(const peers_duty& duty, const node_id& to)
+{
+    const auto opened = duty.opened_at.find(to);
+    return opened != duty.opened_at.end() &&
+           uptime() - opened->second < first_connect_time;
+}
+
 void transmit(peers_duty& duty, outgoing_message&& message)
 {
     const hybrid_time at =
@@ -338,17 +386,31 @@
     envelope.set_wall_ms(at.wall);
     envelope.set_logical(at.logical);
     envelope.set_body(std::move(message.body));
-    const std::string bytes = envelope.SerializeAsString();
+    std::string bytes = envelope.SerializeAsString();
     if (duty.options.open_membership)
         ensure_dealer(duty, message.to);
-    const auto dealer = duty.dealers.find(message.to);
-    if (dealer == duty.dealers.end() ||
-        !dealer->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait))
-    {
-        duty.dropped_unreachable.fetch_add(1, std::memory_order_relaxed);
+    if (try_send(duty, message.to, message.kind, bytes))
         return;
+    if (is_connecting(duty, message.to) &&
+        duty.waiting.size() < max_waiting_messages)
+        duty.waiting.push_back({message.to, message.kind, std::move(bytes)});
+    else
+        duty.dropped_unreachable.fetch_add(1, std::memory_order_relaxed);
+}
+
+/// Sends the messages that wait for a connection that exists by now, and drops
+/// those whose connection was not established in time.
+void send_waiting(peers_duty& duty)
+{
+    for (auto& message : std::exchange(duty.waiting, {}))
+    {
+        if (try_send(duty, message.to, message.kind, message.bytes))
+            continue;
+        if (is_connecting(duty, message.to))
+            duty.waiting.push_back(std::move(message));
+        else
+            duty.dropped_unreachable.fetch_add(1, std::memory_order_relaxed);
     }
-    count_message(duty.sent[message.kind], bytes.size());
 }
 
 void transmit_queued(peers_duty& duty)
@@ -363,13 +425,15 @@
             transmit(duty, std::move(message));
 }
 
-/// Waits for input on any socket. Returns false if interrupted by a signal.
-bool poll_once(std::vector<zmq::pollitem_t>& items)
+/// Waits for input on any socket, or until waiting messages are to be tried
+/// again. Returns false if interrupted by a signal.
+bool poll_once(std::vector<zmq::pollitem_t>& items, bool has_waiting_messages)
 {
     constexpr std::chrono::milliseconds no_timeout{-1};
     try
     {
-        zmq::poll(items, no_timeout);
+        zmq::poll(
+            items, has_waiting_messages ? waiting_retry_interval : no_timeout);
         return true;
     }
     catch (const zmq::error_t& error)
@@ -390,8 +454,10 @@
         items.push_back({duty.authenticator.handle(), 0, ZMQ_POLLIN, 0});
     while (!duty.stopping.load())
     {
-        if (!poll_once(items))
+        if (!poll_once(items, !duty.waiting.empty()))
             continue;
+        if (!duty.waiting.empty())
+            send_waiting(duty);
         if (items[0].revents != 0)
             receive(duty);
         if (items[1].revents != 0)
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -379,7 +379,8 @@
     if (!directory)
         return;
     const time_point now = uptime();
-    view_.awaiting_directory = false;
+    if (directory->is_settled)
+        view_.awaiting_directory = false;
     const std::uint64_t digest_before = view_.directory.digest;
     std::set<upstream_id> listed;
     for (const auto& [value, age] : directory->upstreams)
--- a/src/site/control_directory.cpp
+++ b/src/site/control_directory.cpp
@@ -131,6 +131,9 @@
         now - full_directory_at_ > max_age)
     {
         directory_message message = whole_directory(directory_, now);
+        // Upstreams announce themselves once in an interval.
+        message.is_settled =
+            now - started_at_ > 2 * options_.announcement_interval;
         message.is_complete =
             is_leader_ && now - started_at_ > options_.directory_warm_up;
         full_directory_ = encode_directory(message);
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -21,7 +21,7 @@
 using observe::log_line;
 
 /// Interval of the periodic work.
-constexpr duration tick_interval = 250ms;
+constexpr duration tick_interval = 100ms;
 /// Interval of the housekeeping of what upstreams and entries told.
 constexpr duration refresh_interval = 1s;
 /// An entry is counted for sharing rate limits for this long after its last
@@ -160,7 +160,6 @@
     const time_point now = uptime();
     if (site_.version != version_before)
     {
-        site_applied_at_ = now;
         limit_totals_.clear();
         const auto accounts = site_.current ? site_.current->value.accounts
                                             : std::vector<account>{};
@@ -276,6 +275,7 @@
     entry.site_version = report.site_version();
     entry.ready = report.ready();
     entry.heard_at = now;
+    entry.asked_at_us = report.asked_at_us();
     record_clock_sample(clock_, message.from, {report.time_of_day_ms()}, now);
     if (is_new_incarnation || was_ready != entry.ready)
         log_.write(
@@ -340,7 +340,6 @@
     if (site_.content && should_send_site(
                              options_.entry_sync,
                              site_.version,
-                             site_applied_at_,
                              entry.site_version,
                              rank_for(to),
                              entry.sync,
@@ -389,10 +388,22 @@
     send(to, wire::control_report, report.SerializeAsString());
 }
 
+void control_service::announce_confirmation(time_point now)
+{
+    const auto age = confirmed_age(now);
+    const bool confirmed = age && *age < options_.max_read_age;
+    if (confirmed && !was_confirmed_)
+        for (const auto& [id, entry] : entries_)
+            if (!entry.ready)
+                send_report(id, entry.asked_at_us);
+    was_confirmed_ = confirmed;
+}
+
 void control_service::tick()
 {
     const time_point now = uptime();
     update_leadership();
+    announce_confirmation(now);
     silent_upstreams_ = find_silent(
         directory_,
         options_.announcement_interval * max_missed_announcements,
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -124,6 +124,8 @@
     std::uint64_t site_version = 0;
     bool ready = false;
     time_point heard_at;
+    /// When it sent its last report, by its own clock.
+    std::int64_t asked_at_us = 0;
     entry_sync_state sync;
 };
 
@@ -199,6 +201,9 @@
     std::uint32_t rank_for(const node_id& entry) const;
     void send_report(const node_id& to, std::int64_t asked_at_us);
     void update_leadership();
+    /// Tells all entries when this node's state becomes confirmed: after an
+    /// outage they serve again as soon as they know of it.
+    void announce_confirmation(time_point now);
     void run_leader_duties(time_point now);
     void judge_moves(std::int64_t now_ms);
     void close_windows(std::int64_t now_ms);
@@ -237,7 +242,7 @@
     time_point full_directory_at_;
     /// When the full directory was last sent to each control node.
     std::map<node_id, time_point> directory_shared_at_;
-    time_point site_applied_at_;
+    bool was_confirmed_ = false;
     std::map<node_id, known_entry> entries_;
     time_point refreshes_sent_at_;
 
--- a/src/site/entry_sync.cpp
+++ b/src/site/entry_sync.cpp
@@ -115,7 +115,6 @@
 bool should_send_site(
     const entry_sync_options& options,
     std::uint64_t version,
-    time_point applied_at,
     std::uint64_t held_version,
     std::uint32_t rank,
     entry_sync_state& state,
@@ -123,7 +122,12 @@
 {
     if (held_version >= version)
         return false;
-    if (now - applied_at < rank * options.patience_per_rank)
+    if (state.missing_site_version != version)
+    {
+        state.missing_site_version = version;
+        state.site_missing_since = now;
+    }
+    if (now - state.site_missing_since < rank * options.site_patience_per_rank)
         return false;
     if (state.sent_site_version == version &&
         now - state.site_sent_at < options.site_resend_interval)
--- a/src/site/entry_sync.hpp
+++ b/src/site/entry_sync.hpp
@@ -41,6 +41,9 @@
     duration full_interval = 2s;
     /// A site is not sent again to the same entry within this time.
     duration site_resend_interval = 1s;
+    /// How long an entry must lack the newest site before it gets it, for each
+    /// rank of the node that sends it.
+    duration site_patience_per_rank = 150ms;
 };
 
 /// What a control node knows of an entry's copy of the directory and the site.
@@ -51,6 +54,9 @@
     /// The entry has the changes up to then, or they were sent again.
     time_point changes_sent_until;
     time_point full_sent_at;
+    /// The newest site that the entry does not have, and since when.
+    std::uint64_t missing_site_version = 0;
+    time_point site_missing_since;
     std::uint64_t sent_site_version = 0;
     time_point site_sent_at;
 };
@@ -107,12 +113,11 @@
     time_point& sent_at,
     time_point now);
 
-/// Whether the reply to an entry that has `held_version` includes the site of
-/// `version`, which this node applied at `applied_at`; records it as sent.
+/// Whether a message to an entry that has `held_version` includes the site of
+/// `version`; records it as sent.
 bool should_send_site(
     const entry_sync_options& options,
     std::uint64_t version,
-    time_point applied_at,
     std::uint64_t held_version,
     std::uint32_t rank,
     entry_sync_state& state,
--- a/src/site/site_codec.cpp
+++ b/src/site/site_codec.cpp
@@ -79,6 +79,7 @@
     }
     encoded.set_digest(message.digest);
     encoded.set_is_complete(message.is_complete);
+    encoded.set_is_settled(message.is_settled);
     return encoded.SerializeAsString();
 }
 
@@ -90,6 +91,7 @@
     directory_message message;
     message.digest = encoded.digest();
     message.is_complete = encoded.is_complete();
+    message.is_settled = encoded.is_settled();
     for (const pb::upstream_value& each : encoded.upstreams())
         if (auto value = read(each))
             message.upstreams.push_back(
--- a/src/site/site_codec.hpp
+++ b/src/site/site_codec.hpp
@@ -35,6 +35,8 @@
     std::uint64_t digest = 0;
     /// The message lists every upstream that the sender knows.
     bool is_complete = false;
+    /// The sender has run for long enough to have heard of all live upstreams.
+    bool is_settled = false;
 };
 
 std::string encode_directory(const directory_message& message);
