--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -17,16 +17,18 @@
 using observe::log_line;
 
 /// Each node gets every n-th report. While the entry is not ready it reports
-/// often, so that it learns soon of the first node that answers; the nodes take
-/// turns then, since all entries do so at the same time when the control nodes
-/// are overloaded or have just started.
+/// often, to a few nodes at a time: all entries do so at once when the control
+/// nodes are overloaded or have just started.
 std::uint64_t rounds_between_reports(
-    const control_link_options& options, bool is_ready, bool is_leader)
+    const control_link_options& options,
+    bool is_ready,
+    bool is_leader,
+    std::size_t nodes)
 {
-    if (!is_ready)
-        return static_cast<std::uint64_t>(std::max<std::int64_t>(
-            options.report_interval / options.unready_report_interval, 1));
-    return is_leader ? 1 : options.leader_reports_per_report;
+    if (is_ready)
+        return is_leader ? 1 : options.leader_reports_per_report;
+    const std::size_t at_once = options.unready_reports_at_once;
+    return std::max<std::uint64_t>(1, (nodes + at_once - 1) / at_once);
 }
 
 } // namespace
@@ -124,7 +126,7 @@
     {
         const bool is_leader = id == leader_;
         const std::uint64_t rounds = rounds_between_reports(
-            options_, ready(now), is_leader);
+            options_, ready(now), is_leader, nodes_.size());
         const bool is_turn = (report_round_ + index++) % rounds == 0;
         if (!is_turn && !is_urgent)
             continue;
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -32,9 +32,10 @@
     /// Reports to the leader for each report to another control node. Every
     /// control node hears of all entries, and has a fraction of a core.
     std::uint64_t leader_reports_per_report = 2;
-    /// Time between two reports, to one control node after the other, while the
-    /// entry has no site with a valid lease.
+    /// Time between two rounds of reports while the entry has no site with a
+    /// valid lease, and the number of control nodes that get one in a round.
     duration unready_report_interval = 100ms;
+    std::size_t unready_reports_at_once = 3;
     /// Requests with a key are accepted for this long after the last moment at
     /// which the site was known to be the newest. Operators bound it.
     duration site_lease = 4400ms;
--- a/src/site/control_directory.cpp
+++ b/src/site/control_directory.cpp
@@ -145,7 +145,8 @@
 
 std::uint32_t control_service::rank_for(const node_id& entry) const
 {
-    return sync_rank(options_.self, control_nodes(), entry, is_leader_);
+    const bool leads = status_of(*control_).role == consensus::role::leader;
+    return sync_rank(options_.self, control_nodes(), entry, leads);
 }
 
 void control_service::send_directory_update(
