Bound what an upstream can make an entry buffer

Cause: lines, chunk headers, trailers, events and skipped answers had no bound, one answer 8 MiB and all together none. Bounds: 32 KiB for a line, 1 MiB for an event, 8 skipped answers, 64 MiB over all requests. Interim answers are skipped.

The control test that raced with its own count waits for node 1 to apply what was answered, and compares the commands and not only their number.

--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/http_message.hpp"
 
+#include <algorithm>
+
 namespace bergamotusher::gateway
 {
 
@@ -10,9 +12,12 @@
 
 /// Position after the blank line that ends the first event; npos if the event
 /// is not complete.
-std::size_t end_of_event(std::string_view text)
+std::size_t end_of_event(std::string_view text, std::size_t searched)
 {
-    for (std::size_t newline = text.find('\n');
+    // The blank line may have been received in part.
+    constexpr std::size_t blank_line_bytes = 2;
+    for (std::size_t newline =
+             text.find('\n', searched - std::min(searched, blank_line_bytes));
          newline != std::string_view::npos;
          newline = text.find('\n', newline + 1))
     {
@@ -52,8 +57,9 @@
 {
     splitter.partial.append(bytes);
     std::string_view rest = splitter.partial;
-    for (std::size_t end = end_of_event(rest); end != std::string_view::npos;
-         end = end_of_event(rest))
+    for (std::size_t end = end_of_event(rest, splitter.searched);
+         end != std::string_view::npos;
+         end = end_of_event(rest, 0))
     {
         if (const auto id = id_of(rest.substr(0, end)))
             splitter.last_id = id;
@@ -62,6 +68,7 @@
     }
     std::string complete =
         splitter.partial.substr(0, splitter.partial.size() - rest.size());
+    splitter.searched = rest.size();
     splitter.partial.erase(0, complete.size());
     return complete;
 }
--- a/src/gateway/event_splitter.hpp
+++ b/src/gateway/event_splitter.hpp
@@ -14,6 +14,8 @@
 {
     /// Bytes of an event that is not yet complete.
     std::string partial;
+    /// Bytes of `partial` in which no end of an event was found.
+    std::size_t searched = 0;
     /// Id of the last complete event that had an id.
     std::optional<std::uint64_t> last_id;
     std::uint64_t events = 0;
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -69,6 +69,11 @@
     duration site_expected_within = 4s;
     /// The largest answer that is buffered until it is complete.
     std::size_t answer_bytes_max = std::size_t{8} << 20;
+    /// The largest event of a stream.
+    std::size_t event_bytes_max = std::size_t{1} << 20;
+    /// Bytes of incomplete answers and events that are buffered over all
+    /// requests: instances have a few hundred MB.
+    std::size_t buffered_bytes_max = std::size_t{64} << 20;
 };
 
 /// Counters since the start of the process.
@@ -129,6 +134,11 @@
     {
         return requests_.size();
     }
+    /// Bytes of incomplete answers and events over all requests.
+    std::size_t buffered_bytes() const
+    {
+        return buffered_bytes_;
+    }
     const relay_counters& counters() const
     {
         return counters_;
@@ -160,6 +170,9 @@
         const answer_parser& answer,
         const answer_metadata& facts);
     void on_body(const request_ptr& req, const std::string& piece);
+    /// Updates the count of buffered bytes. If the request has more than
+    /// allowed, ends its attempt and returns false.
+    bool check_buffer(const request_ptr& req);
     void on_complete(const request_ptr& req);
     void on_failed(
         const request_ptr& req, failure_kind kind, const std::string& detail);
@@ -219,6 +232,7 @@
     std::multimap<time_point, std::uint64_t> deadlines_;
     std::map<service_name, std::deque<request_ptr>> waiting_;
     std::deque<request_ptr> waiting_for_site_;
+    std::size_t buffered_bytes_ = 0;
     relay_counters counters_;
 };
 
--- a/src/gateway/relay_answers.cpp
+++ b/src/gateway/relay_answers.cpp
@@ -131,11 +131,7 @@
     if (!req->is_streaming)
     {
         req->body += piece;
-        if (req->body.size() > options_.answer_bytes_max)
-        {
-            pool_.cancel(req->ticket);
-            on_failed(req, failure_kind::malformed, "the answer is too large");
-        }
+        check_buffer(req);
         return;
     }
     const std::uint64_t before = req->events.events;
@@ -143,6 +139,26 @@
     counters_.events += req->events.events - before;
     if (!events.empty())
         forward_events(req, events);
+    check_buffer(req);
+}
+
+bool relay::check_buffer(const request_ptr& req)
+{
+    const std::size_t bytes = req->body.size() + req->events.partial.size();
+    buffered_bytes_ += bytes - req->buffered_bytes;
+    req->buffered_bytes = bytes;
+    const char* reason = nullptr;
+    if (req->body.size() > options_.answer_bytes_max)
+        reason = "the answer is too large";
+    else if (req->events.partial.size() > options_.event_bytes_max)
+        reason = "an event is too large";
+    else if (buffered_bytes_ > options_.buffered_bytes_max)
+        reason = "too many bytes of answers are buffered";
+    if (reason == nullptr)
+        return true;
+    pool_.cancel(req->ticket);
+    on_failed(req, failure_kind::malformed, reason);
+    return false;
 }
 
 void relay::forward_events(const request_ptr& req, const std::string& events)
@@ -407,6 +423,7 @@
 {
     if (requests_.erase(req->number) == 0)
         return;
+    buffered_bytes_ -= std::exchange(req->buffered_bytes, 0);
     deadlines_.erase(req->deadline_entry);
     if (req->status == 0 || req->caller.expired())
         return;
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -56,6 +56,8 @@
     answer_metadata answer;
     std::string body;
     event_splitter events;
+    /// Bytes of `body` and `events` that are counted in the relay's sum.
+    std::size_t buffered_bytes = 0;
     bool is_streaming = false;
     bool head_forwarded = false;
     time_point first_forwarded_at;
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -11,7 +11,9 @@
 #include <array>
 #include <limits>
 #include <map>
+#include <memory>
 #include <netinet/tcp.h>
+#include <utility>
 #include <vector>
 
 namespace bergamotusher::gateway
@@ -97,7 +99,7 @@
     {
         closed_ = true;
         busy_ = false;
-        callbacks_ = {};
+        callbacks_.reset();
         timer_.cancel();
         boost_error ignored;
         socket_.close(ignored);
@@ -125,9 +127,12 @@
     {
         busy_ = true;
         request_ = std::move(request);
-        callbacks_ = std::move(callbacks);
+        callbacks_ =
+            std::make_shared<response_callbacks>(std::move(callbacks));
         close_after_answer_ = false;
         request_written_ = false;
+        skipped_answers_ = 0;
+        skipped_bytes_ = 0;
         idle_timeout_ = pool_->options.idle_timeout;
         reset_parser();
     }
@@ -260,11 +265,14 @@
             if (!deliver_answer())
                 return;
             if (outcome == parse_outcome::needs_more)
-                return;
-            if (is_stray())
+                return check_unparsed_bytes();
+            if (is_stray() || is_interim())
             {
                 // A late answer to an earlier request is skipped.
                 ++pool_->counters.stray_answers;
+                if (++skipped_answers_ > pool_->options.skipped_answers_max)
+                    return fail(
+                        failure_kind::malformed, "answers that nobody awaits");
                 reset_parser();
                 continue;
             }
@@ -273,6 +281,21 @@
         }
     }
 
+    /// Lines, chunk headers and trailers are parsed only once they are complete.
+    void check_unparsed_bytes()
+    {
+        if (buffer_.size() > pool_->options.header_bytes_max)
+            fail(failure_kind::malformed, "a line without end");
+        else if (skipped_bytes_ > pool_->options.skipped_bytes_max)
+            fail(failure_kind::malformed, "an answer that nobody awaits");
+    }
+
+    bool is_interim() const
+    {
+        constexpr int first_final_status = 200;
+        return parser_->status < first_final_status;
+    }
+
     bool is_stray() const
     {
         return !facts_.attempt.empty() && facts_.attempt != request_.attempt_id;
@@ -291,13 +314,17 @@
             close_after_answer_ = close_after_answer_ || facts_.closes;
             if (facts_.idle_time)
                 idle_timeout_ = *facts_.idle_time;
-            if (!is_stray() && callbacks_.on_head)
-                callbacks_.on_head(*parser_, facts_);
+            // A callback may cancel the request, which drops the callbacks.
+            const auto callbacks = callbacks_;
+            if (!is_stray() && !is_interim() && callbacks &&
+                callbacks->on_head)
+                callbacks->on_head(*parser_, facts_);
         }
         if (closed_)
             return false;
         if (is_stray())
         {
+            skipped_bytes_ += parser_->body.size();
             parser_->body.clear();
             return true;
         }
@@ -305,8 +332,9 @@
         {
             const std::string piece = std::move(parser_->body);
             parser_->body.clear();
-            if (callbacks_.on_body)
-                callbacks_.on_body(piece);
+            const auto callbacks = callbacks_;
+            if (callbacks && callbacks->on_body)
+                callbacks->on_body(piece);
         }
         return !closed_;
     }
@@ -318,8 +346,7 @@
         if (!deliver_answer())
             return;
         const auto self = shared_from_this();
-        const auto on_complete = std::move(callbacks_.on_complete);
-        callbacks_ = {};
+        const auto callbacks = std::exchange(callbacks_, nullptr);
         answer_complete_ = false;
         busy_ = false;
         if (!buffer_.empty())
@@ -331,8 +358,8 @@
             close();
         else if (request_written_)
             return_to_pool();
-        if (on_complete)
-            on_complete();
+        if (callbacks && callbacks->on_complete)
+            callbacks->on_complete();
     }
 
     void return_to_pool()
@@ -365,10 +392,10 @@
         if (kind == failure_kind::not_connected)
             ++pool_->counters.connect_failures;
         const auto self = shared_from_this();
-        const auto on_failed = std::move(callbacks_.on_failed);
+        const auto callbacks = callbacks_;
         close();
-        if (on_failed)
-            on_failed(kind, detail);
+        if (callbacks && callbacks->on_failed)
+            callbacks->on_failed(kind, detail);
     }
 
     std::shared_ptr<state> pool_;
@@ -379,7 +406,7 @@
     std::string buffer_;
     std::optional<answer_parser> parser_;
     outgoing_request request_;
-    response_callbacks callbacks_;
+    std::shared_ptr<response_callbacks> callbacks_;
     answer_metadata facts_;
     duration idle_timeout_{};
     time_point idle_since_;
@@ -390,6 +417,9 @@
     bool answer_complete_ = false;
     bool head_delivered_ = false;
     bool close_after_answer_ = false;
+    /// Answers, and bytes of them, that were skipped during this request.
+    std::size_t skipped_answers_ = 0;
+    std::size_t skipped_bytes_ = 0;
 };
 
 upstream_pool::upstream_pool(
--- a/src/gateway/upstream_pool.hpp
+++ b/src/gateway/upstream_pool.hpp
@@ -34,8 +34,12 @@
     duration idle_margin = 700ms;
     /// Maximum number of idle connections to one upstream.
     std::size_t idle_connections_max = 32;
-    /// Maximum size of an answer's head.
+    /// Maximum size of an answer's head, and of a line inside its body.
     std::uint32_t header_bytes_max = 32 * 1024;
+    /// Answers to other requests, and bytes of one of them, that are skipped
+    /// before the answer to a request.
+    std::size_t skipped_answers_max = 8;
+    std::size_t skipped_bytes_max = std::size_t{1} << 20;
 };
 
 /// Why no complete answer was received.
--- a/tests/control/control_storage_test.cpp
+++ b/tests/control/control_storage_test.cpp
@@ -90,12 +90,26 @@
     REQUIRE(
         propose_and_wait(*all.members[1], 4, "after").outcome ==
         proposal_outcome::committed);
-    const std::size_t applied = [&]
+    // The answer can arrive before node 1 has applied the command itself, so its
+    // number of applied commands is read only after that.
+    REQUIRE(wait_for(
+        all.members[1]->seen,
+        5s,
+        [&]
+        {
+            const auto& commands = all.members[1]->seen.applied;
+            return !commands.empty() && commands.back() == "after";
+        }));
+    const std::vector<std::string> applied = [&]
     {
         const std::lock_guard lock(all.members[1]->seen.mutex);
-        return all.members[1]->seen.applied.size();
+        return all.members[1]->seen.applied;
     }();
-    CHECK(wait_until_applied(broken, applied));
+    CHECK(wait_until_applied(broken, applied.size()));
+    {
+        const std::lock_guard lock(broken.seen.mutex);
+        CHECK(broken.seen.applied == applied);
+    }
     stop_all(all);
 }
 
