--- a/src/admission/shared_limit.cpp
+++ b/src/admission/shared_limit.cpp
@@ -125,8 +125,7 @@
     std::uint32_t entries,
     time_point now)
 {
-    return allowances(
-               ledger, options, entry, {{account, total}}, entries, now)
+    return allowances(ledger, options, entry, {{account, total}}, entries, now)
         .at(account);
 }
 
--- a/src/daemon/peers_duty.cpp
+++ b/src/daemon/peers_duty.cpp
@@ -252,8 +252,7 @@
 bool is_newest(peers_duty& duty, const incoming_message& message)
 {
     std::uint64_t& newest = duty.incarnations[message.from];
-    const bool has_restarted =
-        newest != 0 && message.incarnation > newest;
+    const bool has_restarted = newest != 0 && message.incarnation > newest;
     newest = std::max(newest, message.incarnation);
     // A connection that is being restored waits between its attempts; a new one
     // connects at once.
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -102,10 +102,8 @@
                 routing::first_token_ms(
                     options.prefill_speed,
                     request.speed,
-                    static_cast<double>(each->own_uncached_tokens) +
-                        uncached) +
-                running_ms +
-                current_lateness(options, *each, now);
+                    static_cast<double>(each->own_uncached_tokens) + uncached) +
+                running_ms + current_lateness(options, *each, now);
             const double cost =
                 predicted +
                 (each->value.domain == own_domain
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -127,8 +127,7 @@
     {
         busy_ = true;
         request_ = std::move(request);
-        callbacks_ =
-            std::make_shared<response_callbacks>(std::move(callbacks));
+        callbacks_ = std::make_shared<response_callbacks>(std::move(callbacks));
         close_after_answer_ = false;
         request_written_ = false;
         skipped_answers_ = 0;
@@ -281,7 +280,8 @@
         }
     }
 
-    /// Lines, chunk headers and trailers are parsed only once they are complete.
+    /// Lines, chunk headers and trailers are parsed only once they are
+    /// complete.
     void check_unparsed_bytes()
     {
         if (buffer_.size() > pool_->options.header_bytes_max)
@@ -316,8 +316,7 @@
                 idle_timeout_ = *facts_.idle_time;
             // A callback may cancel the request, which drops the callbacks.
             const auto callbacks = callbacks_;
-            if (!is_stray() && !is_interim() && callbacks &&
-                callbacks->on_head)
+            if (!is_stray() && !is_interim() && callbacks && callbacks->on_head)
                 callbacks->on_head(*parser_, facts_);
         }
         if (closed_)
--- a/src/routing/prefill_speed.cpp
+++ b/src/routing/prefill_speed.cpp
@@ -37,14 +37,12 @@
         speed.token_spread = std::max(tokens / 2, 1.0);
         return;
     }
-    const double weight =
-        std::max(1 / (speed.samples + 1), min_typical_weight);
+    const double weight = std::max(1 / (speed.samples + 1), min_typical_weight);
     const double distance = std::min(
         std::abs(tokens - speed.typical_tokens),
         max_distance * speed.token_spread);
-    speed.typical_tokens += weight * std::copysign(
-                                         distance,
-                                         tokens - speed.typical_tokens);
+    speed.typical_tokens +=
+        weight * std::copysign(distance, tokens - speed.typical_tokens);
     speed.token_spread += weight * (distance - speed.token_spread);
     speed.token_spread = std::max(speed.token_spread, 1.0);
 }
@@ -106,8 +104,7 @@
         speed.fixed_ms + speed.typical_tokens / speed.tokens_per_ms;
     typical_ms *= std::exp(direction * step);
     speed.tokens_per_ms = bounded(
-        options,
-        speed.tokens_per_ms * std::exp(-direction * step * distance));
+        options, speed.tokens_per_ms * std::exp(-direction * step * distance));
     speed.fixed_ms = typical_ms - speed.typical_tokens / speed.tokens_per_ms;
     if (speed.fixed_ms < 0)
     {
@@ -152,7 +149,8 @@
         std::remove_if(
             estimates.begin(),
             estimates.end(),
-            [&](const prefill_speed& each) { return !is_valid(options, each); }),
+            [&](const prefill_speed& each)
+            { return !is_valid(options, each); }),
         estimates.end());
     if (estimates.empty())
         return {};
--- a/src/site/control_directory.cpp
+++ b/src/site/control_directory.cpp
@@ -164,8 +164,7 @@
     case directory_update_scope::none:
         return;
     case directory_update_scope::changes:
-        return send(
-            to, wire::site_directory, encode_changes(update.changes));
+        return send(to, wire::site_directory, encode_changes(update.changes));
     case directory_update_scope::full:
         return send(to, wire::site_directory, full_directory(now));
     }
--- a/src/site/control_duties.cpp
+++ b/src/site/control_duties.cpp
@@ -190,8 +190,8 @@
             demand.prompt_tokens += found->second.prompt_tokens;
             speeds.push_back(found->second.speed);
         }
-        const routing::prefill_speed median =
-            routing::median_speed(options_.rent.prefill_speed, std::move(speeds));
+        const routing::prefill_speed median = routing::median_speed(
+            options_.rent.prefill_speed, std::move(speeds));
         if (median.samples > 0)
             prefill_speeds_[each.name] = median;
         demand.speed = prefill_speeds_[each.name];
--- a/src/site/entry_sync.cpp
+++ b/src/site/entry_sync.cpp
@@ -47,11 +47,11 @@
         return mixed_hash(hash_of(node.value), entry_hash);
     };
     const std::uint64_t own_order = order(self);
-    return 1 + static_cast<std::uint32_t>(std::count_if(
-                   others.begin(),
-                   others.end(),
-                   [&](const node_id& other)
-                   { return order(other) < own_order; }));
+    return 1 +
+           static_cast<std::uint32_t>(std::count_if(
+               others.begin(),
+               others.end(),
+               [&](const node_id& other) { return order(other) < own_order; }));
 }
 
 directory_update directory_update_for(
--- a/src/site/upstream_directory.cpp
+++ b/src/site/upstream_directory.cpp
@@ -151,8 +151,7 @@
         ended.state = upstream_state::gone;
         return merge_one(directory, ended, now, age);
     }
-    const merge_outcome outcome =
-        merge_one(directory, announcement, now, age);
+    const merge_outcome outcome = merge_one(directory, announcement, now, age);
     if (outcome == merge_outcome::changed)
         mark_predecessors_gone(directory, announcement, now);
     return outcome;
--- a/src/site/upstream_directory.hpp
+++ b/src/site/upstream_directory.hpp
@@ -99,10 +99,10 @@
         row{merge_outcome::changed, "changed"}};
 }
 
-/// Merges an announcement into the directory. Of several upstreams with the same
-/// address all but the one that started last are gone. `age` is the time since the node
-/// that forwards it heard of the upstream, so that an upstream which crashed
-/// does not seem alive because nodes tell each other of it.
+/// Merges an announcement into the directory. Of several upstreams with the
+/// same address all but the one that started last are gone. `age` is the time
+/// since the node that forwards it heard of the upstream, so that an upstream
+/// which crashed does not seem alive because nodes tell each other of it.
 merge_outcome merge(
     upstream_directory& directory,
     const upstream& announcement,
@@ -128,7 +128,6 @@
 std::vector<upstream_id> find_silent(
     const upstream_directory& directory, duration timeout, time_point now);
 
-
 /// Records that another node has the same directory: all upstreams in it are
 /// still known there.
 void confirm_all(upstream_directory& directory, time_point now);
--- a/tests/control/control_storage_test.cpp
+++ b/tests/control/control_storage_test.cpp
@@ -90,8 +90,8 @@
     REQUIRE(
         propose_and_wait(*all.members[1], 4, "after").outcome ==
         proposal_outcome::committed);
-    // The answer can arrive before node 1 has applied the command itself, so its
-    // number of applied commands is read only after that.
+    // The answer can arrive before node 1 has applied the command itself, so
+    // its number of applied commands is read only after that.
     REQUIRE(wait_for(
         all.members[1]->seen,
         5s,
--- a/tests/gateway/endless_answer_test.cpp
+++ b/tests/gateway/endless_answer_test.cpp
@@ -66,12 +66,12 @@
     }
     SECTION("a status line without end")
     {
-        upstream->scripts = {"HTTP/1.1 200 " + repeated("x", endless) + "<wait>"};
+        upstream->scripts = {
+            "HTTP/1.1 200 " + repeated("x", endless) + "<wait>"};
     }
     SECTION("a body without a length")
     {
-        upstream->scripts = {
-            head + "\r\n" + repeated("x", endless) + "<wait>"};
+        upstream->scripts = {head + "\r\n" + repeated("x", endless) + "<wait>"};
     }
     SECTION("chunks without a last one")
     {
@@ -99,7 +99,8 @@
     }
     SECTION("answers to other requests")
     {
-        upstream->scripts = {repeated(answer(200, "other", 7), endless) + "<wait>"};
+        upstream->scripts = {
+            repeated(answer(200, "other", 7), endless) + "<wait>"};
     }
     SECTION("an answer to another request without end")
     {
@@ -166,8 +167,7 @@
     {
         auto socket =
             std::make_unique<boost::asio::ip::tcp::socket>(entry.loop);
-        socket->connect(
-            {boost::asio::ip::address_v4::loopback(), entry.port});
+        socket->connect({boost::asio::ip::address_v4::loopback(), entry.port});
         boost::asio::write(
             *socket, boost::asio::buffer(request("POST", "/order/1", i + 100)));
         callers.push_back(std::move(socket));
--- a/tests/routing/prefill_speed_test.cpp
+++ b/tests/routing/prefill_speed_test.cpp
@@ -135,8 +135,9 @@
     }
     SECTION("does not follow a single entry, however often it observed")
     {
-        const auto median =
-            median_speed(options, {{40, 9, 30, 0, 0}, {41, 8, 30, 0, 0}, {900, 1, 1e9, 0, 0}});
+        const auto median = median_speed(
+            options,
+            {{40, 9, 30, 0, 0}, {41, 8, 30, 0, 0}, {900, 1, 1e9, 0, 0}});
         CHECK(median.tokens_per_ms == 41);
         CHECK(median.fixed_ms == 8);
     }
--- a/tests/site/entry_sync_test.cpp
+++ b/tests/site/entry_sync_test.cpp
@@ -218,8 +218,8 @@
     // The message about the drain was lost, and a full directory had been sent
     // just before.
     merge(directory, announcement("a", 2, upstream_state::draining), now);
-    const auto update = directory_update_for(
-        options, directory, before, 0, sync, now + 400ms);
+    const auto update =
+        directory_update_for(options, directory, before, 0, sync, now + 400ms);
     REQUIRE(update.scope == directory_update_scope::changes);
     REQUIRE(update.changes.size() == 1);
     CHECK(update.changes[0].id.value == "a");
@@ -228,8 +228,7 @@
     SECTION("sends the full directory once the interval has passed")
     {
         CHECK(
-            directory_update_for(
-                options, directory, before, 0, sync, now + 3s)
+            directory_update_for(options, directory, before, 0, sync, now + 3s)
                 .scope == directory_update_scope::full);
         CHECK(sync.full_sent_at == now + 3s);
     }
@@ -259,9 +258,7 @@
 {
     fleet system(9, 77);
     const int upstreams = 320;
-    SECTION("nothing is lost")
-    {
-    }
+    SECTION("nothing is lost") {}
     SECTION("one message in fifty is lost")
     {
         system.loss = 0.02;
@@ -318,8 +315,7 @@
     CHECK(should_send_site(options, 7, 6, 0, from_leader, start));
     CHECK_FALSE(should_send_site(options, 7, 6, 1, from_other, start));
     // The report that the entry sent before the site reached it.
-    CHECK_FALSE(
-        should_send_site(options, 7, 6, 0, from_leader, start + 200ms));
+    CHECK_FALSE(should_send_site(options, 7, 6, 0, from_leader, start + 200ms));
     CHECK_FALSE(should_send_site(options, 7, 7, 1, from_other, start + 600ms));
 
     SECTION("another node sends it where the leader's message was lost")
@@ -332,7 +328,6 @@
     }
     SECTION("a newer version is not held back")
     {
-        CHECK(should_send_site(
-            options, 8, 6, 0, from_leader, start + 200ms));
+        CHECK(should_send_site(options, 8, 6, 0, from_leader, start + 200ms));
     }
 }
