--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -97,11 +97,13 @@
                                 options.cache_prediction, query, *each, now)
                           : 0;
             const double uncached = std::max(prompt - cached, 0.0);
+            const double running_ms = options.running_cost_ms * running;
             const double predicted =
-                (static_cast<double>(each->own_uncached_tokens) + uncached) /
-                    options.prefill_tokens_per_ms +
-                options.running_cost_ms * running +
-                current_lateness(options, *each, now);
+                routing::first_token_ms(
+                    options.prefill_speed,
+                    request.speed,
+                    static_cast<double>(each->own_uncached_tokens) + uncached) +
+                running_ms + current_lateness(options, *each, now);
             const double cost =
                 predicted +
                 (each->value.domain == own_domain
@@ -115,6 +117,7 @@
                 best.uncached_tokens =
                     static_cast<std::uint64_t>(std::llround(uncached));
                 best.predicted_ms = predicted;
+                best.running_ms = running_ms;
             }
         }
         if (best.upstream != nullptr || best.all_full)
@@ -161,6 +164,12 @@
     record_failure(options, view, now);
 }
 
+void record_replaced(
+    const placement_options& options, upstream_view& view, time_point now)
+{
+    view.avoid_until = now + options.avoid_time_replaced;
+}
+
 void record_answer(
     upstream_view& view,
     const std::optional<answer_metadata::load>& load,
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -4,6 +4,7 @@
 
 #include "gateway/cache_prediction.hpp"
 #include "gateway/dialect.hpp"
+#include "routing/prefill_speed.hpp"
 #include "site/upstream_directory.hpp"
 
 #include <bergamotusher/time.hpp>
@@ -21,12 +22,11 @@
 /// Parameters of the cost model.
 struct placement_options
 {
-    /// Prompt tokens that an engine processes per millisecond while it also
-    /// generates tokens for other requests; this is half its rate without other
-    /// requests.
-    double prefill_tokens_per_ms = 22;
+    /// How fast engines process prompts while they also generate tokens for
+    /// other requests.
+    routing::prefill_speed_options prefill_speed;
     /// Time in ms that each running request adds to the first token of another
-    /// one: a few hundredths of a 6.35 ms engine step for each token processed.
+    /// one.
     double running_cost_ms = 2;
     /// Time constant of the decay of `lateness_ms`.
     duration lateness_decay_time = 1500ms;
@@ -42,6 +42,9 @@
     /// An upstream that could not be reached is avoided for this long; the time
     /// doubles with each further failure, up to `avoid_time_max`.
     duration avoid_time_initial = 300ms;
+    /// An upstream whose address answers for another one is avoided for this
+    /// long: it has ended, and the directory will tell.
+    duration avoid_time_replaced = 30s;
     duration avoid_time_max = 4s;
     /// Fraction of its slots at which an upstream counts as full.
     double slot_utilization_max = 0.95;
@@ -91,6 +94,8 @@
     const part_request_rates* rates = nullptr;
     /// Number of entries that send to the same upstreams.
     std::uint32_t entries = 1;
+    /// What was learned of the service's engines.
+    routing::prefill_speed speed;
 };
 
 struct placement_choice
@@ -99,8 +104,10 @@
     /// Prompt tokens that the upstream is expected to process, not found in its
     /// cache.
     std::uint64_t uncached_tokens = 0;
-    /// Predicted time to the first token, in ms.
+    /// Predicted time to the first token, in ms, and the part of it that the
+    /// requests running at the upstream cause.
     double predicted_ms = 0;
+    double running_ms = 0;
     /// Some upstreams are ready, but all of them are full.
     bool all_full = false;
 };
@@ -138,6 +145,10 @@
 void record_unreachable(
     const placement_options& options, upstream_view& view, time_point now);
 
+/// Records that another upstream answered at the address of this one.
+void record_replaced(
+    const placement_options& options, upstream_view& view, time_point now);
+
 /// Records an answer and the load that it reports.
 void record_answer(
     upstream_view& view,
--- a/src/site/upstream_directory.cpp
+++ b/src/site/upstream_directory.cpp
@@ -18,15 +18,33 @@
 /// Covers what nodes must agree on, not when or how often it was announced.
 std::uint64_t digest_of(const upstream& value)
 {
+    if (value.state == upstream_state::gone)
+        return 0;
     const std::hash<std::string> text;
     std::size_t digest = text(value.id.value);
     digest = hash_combine(digest, text(value.service.value));
     digest = hash_combine(digest, text(value.address));
+    digest = hash_combine(digest, text(value.domain.value));
     digest = hash_combine(digest, text(value.version.value));
+    digest = hash_combine(digest, value.slots);
+    digest = hash_combine(digest, value.reclaimable ? 1 : 0);
     digest = hash_combine(digest, static_cast<std::size_t>(value.state));
     return hash_combine(digest, static_cast<std::size_t>(value.started_ms));
 }
 
+/// Replaces the share of one upstream in the directory's digest.
+void update_digest(
+    upstream_directory& directory,
+    std::uint64_t before,
+    std::uint64_t after,
+    time_point now)
+{
+    if (before == after)
+        return;
+    directory.digest ^= before ^ after;
+    directory.changed_at = now;
+}
+
 bool same_facts(const upstream& a, const upstream& b)
 {
     return std::tie(a.service, a.address, a.domain, a.version, a.slots) ==
@@ -49,32 +67,96 @@
             announcement.state > known.state);
 }
 
-} // namespace
+/// The upstream of another id that started later at the same address: the
+/// address was given to it after the earlier one had ended.
+bool is_replaced(
+    const upstream_directory& directory, const upstream& announcement)
+{
+    return announcement.state != upstream_state::gone &&
+           std::any_of(
+               directory.upstreams.begin(),
+               directory.upstreams.end(),
+               [&](const auto& entry)
+               {
+                   const upstream& other = entry.second.value;
+                   return other.address == announcement.address &&
+                          other.id != announcement.id &&
+                          other.started_ms > announcement.started_ms;
+               });
+}
 
-merge_outcome merge(
+void mark_predecessors_gone(
     upstream_directory& directory, const upstream& announcement, time_point now)
+{
+    for (auto& [id, known] : directory.upstreams)
+    {
+        upstream& other = known.value;
+        if (id == announcement.id || other.address != announcement.address ||
+            other.state == upstream_state::gone ||
+            other.started_ms >= announcement.started_ms)
+            continue;
+        update_digest(directory, digest_of(other), 0, now);
+        other.state = upstream_state::gone;
+        known.changed_at = now;
+    }
+}
+
+merge_outcome merge_one(
+    upstream_directory& directory,
+    const upstream& announcement,
+    time_point now,
+    duration age)
 {
     const auto found = directory.upstreams.find(announcement.id);
     if (found == directory.upstreams.end())
     {
         directory.upstreams.emplace(
-            announcement.id, known_upstream{announcement, now, now});
-        directory.digest ^= digest_of(announcement);
+            announcement.id, known_upstream{announcement, now - age, now});
+        update_digest(directory, 0, digest_of(announcement), now);
         return merge_outcome::changed;
     }
     known_upstream& known = found->second;
     if (!is_newer(announcement, known.value))
         return merge_outcome::stale;
     const bool same = same_facts(announcement, known.value);
-    directory.digest ^= digest_of(known.value) ^ digest_of(announcement);
+    update_digest(
+        directory, digest_of(known.value), digest_of(announcement), now);
     known.value = announcement;
-    known.heard_at = now;
+    known.heard_at = std::max(known.heard_at, now - age);
     if (same)
         return merge_outcome::refreshed;
     known.changed_at = now;
     return merge_outcome::changed;
 }
 
+} // namespace
+
+merge_outcome merge(
+    upstream_directory& directory,
+    const upstream& announcement,
+    time_point now,
+    duration age)
+{
+    const auto known = directory.upstreams.find(announcement.id);
+    const bool may_move =
+        known == directory.upstreams.end() ||
+        known->second.value.address != announcement.address ||
+        known->second.value.started_ms != announcement.started_ms ||
+        known->second.value.state == upstream_state::gone;
+    if (!may_move)
+        return merge_one(directory, announcement, now, age);
+    if (is_replaced(directory, announcement))
+    {
+        upstream ended = announcement;
+        ended.state = upstream_state::gone;
+        return merge_one(directory, ended, now, age);
+    }
+    const merge_outcome outcome = merge_one(directory, announcement, now, age);
+    if (outcome == merge_outcome::changed)
+        mark_predecessors_gone(directory, announcement, now);
+    return outcome;
+}
+
 bool mark_gone(
     upstream_directory& directory,
     const upstream_id& id,
@@ -105,7 +187,7 @@
             ++i;
             continue;
         }
-        directory.digest ^= digest_of(i->second.value);
+        update_digest(directory, digest_of(i->second.value), 0, now);
         i = directory.upstreams.erase(i);
     }
 }
@@ -121,33 +203,28 @@
     return found;
 }
 
-std::vector<upstream> updates_for(
-    const upstream_directory& directory,
-    std::uint64_t digest,
-    time_point& full_sent_at,
-    time_point now)
+void confirm_all(upstream_directory& directory, time_point now)
 {
-    if (digest == directory.digest)
-        return {};
-    if (now - full_sent_at > full_directory_interval)
-    {
-        full_sent_at = now;
-        return all_announcements(directory);
-    }
-    std::vector<upstream> recent;
-    for (const auto& [id, each] : directory.upstreams)
-        if (now - each.changed_at < recent_change_window)
-            recent.push_back(each.value);
-    return recent;
+    for (auto& [id, each] : directory.upstreams)
+        each.heard_at = now;
 }
 
-std::vector<upstream> all_announcements(const upstream_directory& directory)
+void remove_unlisted(
+    upstream_directory& directory,
+    const std::set<upstream_id>& listed,
+    duration keep,
+    time_point now)
 {
-    std::vector<upstream> values;
-    values.reserve(directory.upstreams.size());
-    for (const auto& [id, each] : directory.upstreams)
-        values.push_back(each.value);
-    return values;
+    for (auto i = directory.upstreams.begin(); i != directory.upstreams.end();)
+    {
+        if (listed.count(i->first) > 0 || now - i->second.heard_at < keep)
+        {
+            ++i;
+            continue;
+        }
+        update_digest(directory, digest_of(i->second.value), 0, now);
+        i = directory.upstreams.erase(i);
+    }
 }
 
 } // namespace bergamotusher::site
