--- a/tests/site/entry_sync_test.cpp
+++ b/tests/site/entry_sync_test.cpp
@@ -257,17 +257,15 @@
 TEST_CASE("hundreds of upstreams start beside dozens of entries")
 {
     fleet system(9, 77);
-    const int upstreams = 320;
+    constexpr std::uint64_t upstreams = 320;
     SECTION("nothing is lost") {}
     SECTION("one message in fifty is lost")
     {
         system.loss = 0.02;
     }
-    for (int i = 0; i < upstreams; ++i)
+    for (std::uint64_t i = 0; i < upstreams; ++i)
     {
-        system.announce(
-            static_cast<std::size_t>(i) % 9,
-            announcement("i-" + std::to_string(i), 1));
+        system.announce(i % 9, announcement("i-" + std::to_string(i), 1));
         system.run(10ms);
     }
     system.run(4s);
