Keep live reclaimable upstreams, and plan with a speed that overload does not lower

On-demand upstreams now fill the room that live reclaimable ones leave. The planned speed follows a lower learned one with a hundredth a round.

--- a/src/site/rent_policy.cpp
+++ b/src/site/rent_policy.cpp
@@ -98,6 +98,28 @@
                       : std::max(options.slot_utilization * slots, 1.0);
 }
 
+/// Follows the learned speed of the service's engines.
+routing::prefill_speed update_planned_speed(
+    const rent_options& options,
+    rent_state& state,
+    const service_name& service,
+    const routing::prefill_speed& learned)
+{
+    if (learned.tokens_per_ms <= 0)
+    {
+        const auto known = state.planned_speeds.find(service);
+        return known == state.planned_speeds.end() ? routing::prefill_speed{}
+                                                   : known->second;
+    }
+    routing::prefill_speed& planned =
+        state.planned_speeds.emplace(service, learned).first->second;
+    const double change = learned.tokens_per_ms - planned.tokens_per_ms;
+    planned.tokens_per_ms +=
+        change * (change > 0 ? options.speed_gain_smoothing
+                             : options.speed_loss_smoothing);
+    return planned;
+}
+
 double update_peak_need(
     const rent_options& options,
     rent_state& state,
@@ -125,7 +147,10 @@
                              (demand.prompt_tokens - planned.prompt_tokens);
     double current_need = std::max(
         planned.requests / planned_requests(options, counts.median_slots),
-        planned.prompt_tokens / planned_prompt_rate(options, demand.speed));
+        planned.prompt_tokens /
+            planned_prompt_rate(
+                options,
+                update_planned_speed(options, state, service, demand.speed)));
     const auto initial = state.initial_on_demand.find(service);
     if (demand.requests <= 0 && state.demand_since.count(service) == 0 &&
         initial != state.initial_on_demand.end())
@@ -146,21 +171,51 @@
     return found != state.orders.end() && now < found->second.unavailable_until;
 }
 
-/// Distributes `count` evenly over the failure domains; the cheapest get the
-/// remainder.
-std::map<failure_domain, std::uint32_t>
-spread_by_price(const renting_terms& terms, std::uint32_t count)
+/// Distributes `count` evenly over the failure domains, as far as each has
+/// room; the cheapest get the remainder.
+std::map<failure_domain, std::uint32_t> spread_by_price(
+    const renting_terms& terms,
+    const std::map<failure_domain, std::uint32_t>& room,
+    std::uint32_t count)
 {
     std::vector<std::pair<double, failure_domain>> by_price;
     for (const auto& [domain, price] : terms.prices)
         by_price.emplace_back(price, domain);
     std::sort(by_price.begin(), by_price.end());
     std::map<failure_domain, std::uint32_t> spread;
-    for (std::uint32_t i = 0; i < count; ++i)
-        ++spread[by_price[i % by_price.size()].second];
+    bool has_room = true;
+    while (count > 0 && has_room)
+    {
+        has_room = false;
+        for (const auto& [price, domain] : by_price)
+        {
+            if (count == 0 || spread[domain] >= room.at(domain))
+                continue;
+            ++spread[domain];
+            --count;
+            has_room = true;
+        }
+    }
     return spread;
 }
 
+/// On-demand upstreams that fit into each failure domain. The limit of a domain
+/// holds for both markets together, and live reclaimable upstreams are not
+/// given up for on-demand ones that have yet to start.
+std::map<failure_domain, std::uint32_t>
+on_demand_room(const renting_terms& terms, const rented_counts& counts)
+{
+    std::map<failure_domain, std::uint32_t> room;
+    for (const auto& [domain, price] : terms.prices)
+        room[domain] = std::max(
+            counts.live_in(domain, market::on_demand),
+            terms.max_per_domain -
+                std::min(
+                    terms.max_per_domain,
+                    counts.live_in(domain, market::reclaimable)));
+    return room;
+}
+
 /// Whether a failure domain lately lost its reclaimable upstreams, or is losing
 /// them, without an order to release them. Announcements need not say that an
 /// upstream is being reclaimed. Based mainly on the directory, so that a new
@@ -283,6 +338,7 @@
             : 0;
     const auto on_demand_by_domain = spread_by_price(
         terms,
+        on_demand_room(terms, counts),
         on_demand_target(options, state, service.name, basis, counts, now));
     std::vector<target_count> targets;
     for (const auto& [domain, price] : terms.prices)
@@ -312,7 +368,9 @@
         if (!is_unavailable(state, reclaimable, now) &&
             terms.reclaimable_price > 0)
             targets.push_back(
-                {reclaimable, std::min(reclaimable_target, room)});
+                {reclaimable,
+                 std::min(
+                     reclaimable_target, std::max(room, live_reclaimable))});
     }
     return targets;
 }
--- a/src/site/rent_policy.hpp
+++ b/src/site/rent_policy.hpp
@@ -71,6 +71,11 @@
     /// Weight of a new demand report in the exponentially smoothed demand, per
     /// round.
     double demand_smoothing = 0.13;
+    /// Weight of a new learned speed in the planned one, per round: where it is
+    /// higher, and where it is lower. Engines seem slow while they are
+    /// overloaded, and planning for that would rent more than is needed.
+    double speed_gain_smoothing = 0.13;
+    double speed_loss_smoothing = 0.01;
     /// The highest need within this time is planned for: load comes in waves,
     /// and a released upstream loses its caches.
     duration peak_window = 12s;
@@ -131,6 +136,8 @@
     std::optional<time_point> first_round_at;
     /// Smoothed demand by service, and when demand was first seen.
     std::map<service_name, service_demand> planned_demand;
+    /// Speed of the engines that is planned with; only known ones.
+    std::map<service_name, routing::prefill_speed> planned_speeds;
     std::map<service_name, time_point> demand_since;
     /// On-demand upstreams that a service had before any reclaimable one was
     /// rented: the operators' own estimate of the need.
--- a/tests/site/rent_policy_test.cpp
+++ b/tests/site/rent_policy_test.cpp
@@ -292,6 +292,38 @@
     }
 }
 
+TEST_CASE("an overload does not make itself worse")
+{
+    // After a reclaim the rest is overloaded, prompts queue, and the engines
+    // seem slow: more on-demand upstreams were wanted than the failure domains
+    // have room for, and live reclaimable ones were released for them before
+    // they had started.
+    simulated_platform platform = platform_with_18_upstreams();
+    service_demand demand = steady_demand;
+    demand.speed.tokens_per_ms = 24;
+    platform.run(40s, demand);
+    platform.reclaimable_unavailable = true;
+    platform.reclaim("east");
+    const std::uint32_t left = platform.count(market::reclaimable);
+    REQUIRE(left > 0);
+    demand.prompt_tokens *= 2.5;
+    demand.speed.tokens_per_ms = 6;
+    for (int second = 0; second < 12; ++second)
+    {
+        platform.run(1s, demand);
+        CHECK(platform.count(market::reclaimable) >= left);
+    }
+
+    SECTION("and engines do not become slower by it")
+    {
+        platform.run(20s, demand);
+        const double capacity = platform.live_upstreams() *
+                                planned_prompt_rate(platform.options, {});
+        CHECK(capacity >= demand.prompt_tokens);
+        CHECK(capacity < 2.2 * demand.prompt_tokens);
+    }
+}
+
 TEST_CASE("reclaimable upstreams survive reclaims in series")
 {
     const rent_options options;
