Give up the largest answer where the buffer is full

Cause (found while reading the change): the answer that added the last bytes was given up, which may be a sound stream beside upstreams that send without end. Now the one with most bytes is. The test failed with the former choice.

--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -170,9 +170,11 @@
         const answer_parser& answer,
         const answer_metadata& facts);
     void on_body(const request_ptr& req, const std::string& piece);
-    /// Updates the count of buffered bytes. If the request has more than
-    /// allowed, ends its attempt and returns false.
-    bool check_buffer(const request_ptr& req);
+    /// Updates the count of buffered bytes. Ends the attempt of this request if
+    /// it has more than allowed, and those of the requests with most bytes
+    /// while all together have.
+    void check_buffer(const request_ptr& req);
+    void give_up_answer(const request_ptr& req, const char* reason);
     void on_complete(const request_ptr& req);
     void on_failed(
         const request_ptr& req, failure_kind kind, const std::string& detail);
--- a/src/gateway/relay_answers.cpp
+++ b/src/gateway/relay_answers.cpp
@@ -142,23 +142,36 @@
     check_buffer(req);
 }
 
-bool relay::check_buffer(const request_ptr& req)
+void relay::check_buffer(const request_ptr& req)
 {
     const std::size_t bytes = req->body.size() + req->events.partial.size();
     buffered_bytes_ += bytes - req->buffered_bytes;
     req->buffered_bytes = bytes;
-    const char* reason = nullptr;
     if (req->body.size() > options_.answer_bytes_max)
-        reason = "the answer is too large";
-    else if (req->events.partial.size() > options_.event_bytes_max)
-        reason = "an event is too large";
-    else if (buffered_bytes_ > options_.buffered_bytes_max)
-        reason = "too many bytes of answers are buffered";
-    if (reason == nullptr)
-        return true;
+        return give_up_answer(req, "the answer is too large");
+    if (req->events.partial.size() > options_.event_bytes_max)
+        return give_up_answer(req, "an event is too large");
+    while (buffered_bytes_ > options_.buffered_bytes_max)
+    {
+        const auto largest = std::max_element(
+            requests_.begin(),
+            requests_.end(),
+            [](const auto& a, const auto& b)
+            { return a.second->buffered_bytes < b.second->buffered_bytes; });
+        give_up_answer(
+            request_ptr(largest->second),
+            "too many bytes of answers are buffered");
+    }
+}
+
+void relay::give_up_answer(const request_ptr& req, const char* reason)
+{
+    buffered_bytes_ -= std::exchange(req->buffered_bytes, 0);
+    req->body.clear();
+    req->events.partial.clear();
+    req->events.searched = 0;
     pool_.cancel(req->ticket);
     on_failed(req, failure_kind::malformed, reason);
-    return false;
 }
 
 void relay::forward_events(const request_ptr& req, const std::string& events)
--- a/tests/gateway/endless_answer_test.cpp
+++ b/tests/gateway/endless_answer_test.cpp
@@ -156,7 +156,7 @@
     // Each is below the bound of one answer; together they are not.
     const std::string unfinished =
         "HTTP/1.1 200 X\r\nSigned: yes\r\nContent-Length: 99000000\r\n\r\n" +
-        repeated("x", std::size_t{6} << 20) + "<wait>";
+        repeated("x", 6'700'000) + "<wait>";
     entry.view.directory = {};
     entry.view.upstreams.at({"u1"})->value.slots = 2 * requests;
     for (int i = 0; i < requests; ++i)
@@ -189,7 +189,22 @@
     CHECK(most <= relay_options{}.buffered_bytes_max);
     CHECK(entry.requests->counters().failed > 20);
 
-    // A sound stream beside them is served.
-    chat->scripts = {stream_head() + event(1) + event(2) + "0\r\n\r\n"};
-    CHECK(contains(entry.send_request(request("POST", "/chat/1")), "id: 2"));
+    // A sound stream beside them is served, also if its event does not fit into
+    // the buffer any more: the answer that has most bytes is given up, not the
+    // one that adds the last.
+    REQUIRE(entry.run_until(
+        [&]
+        {
+            return entry.requests->counters().failed == requests - 10 &&
+                   entry.requests->buffered_bytes() >
+                       relay_options{}.buffered_bytes_max - 300'000;
+        },
+        5s));
+    std::string large_event;
+    append_chunk(
+        large_event, "id: 2\ndata: " + repeated("x", 300'000) + "\n\n");
+    chat->scripts = {stream_head() + event(1) + large_event + "0\r\n\r\n"};
+    const std::string received = entry.send_request(request("POST", "/chat/1"));
+    CHECK(contains(received, "id: 2"));
+    CHECK(contains(received, "0\r\n\r\n"));
 }
