--- a/src/admission/shared_limit.cpp
+++ b/src/admission/shared_limit.cpp
@@ -116,17 +116,4 @@
     return allowed;
 }
 
-double allowance(
-    const use_ledger& ledger,
-    const sharing_options& options,
-    const node_id& entry,
-    const account_id& account,
-    double total,
-    std::uint32_t entries,
-    time_point now)
-{
-    return allowances(ledger, options, entry, {{account, total}}, entries, now)
-        .at(account);
-}
-
 } // namespace bergamotusher::admission
--- a/src/admission/shared_limit.hpp
+++ b/src/admission/shared_limit.hpp
@@ -79,14 +79,4 @@
     std::uint32_t entries,
     time_point now);
 
-/// The same for one account.
-double allowance(
-    const use_ledger& ledger,
-    const sharing_options& options,
-    const node_id& entry,
-    const account_id& account,
-    double total,
-    std::uint32_t entries,
-    time_point now);
-
 } // namespace bergamotusher::admission
--- a/src/daemon/peers_duty.cpp
+++ b/src/daemon/peers_duty.cpp
@@ -10,7 +10,6 @@
 #include <cerrno>
 #include <chrono>
 #include <deque>
-#include <fstream>
 #include <map>
 #include <mutex>
 #include <set>
@@ -43,7 +42,6 @@
 /// Messages read from the network in one round before queued messages are
 /// sent.
 constexpr int receive_burst = 256;
-constexpr std::size_t z85_key_size = 40;
 constexpr const char* monitor_endpoint = "inproc://peers-monitor";
 
 struct traffic_counter
@@ -248,8 +246,9 @@
             duty.refused_connections.fetch_add(1, std::memory_order_relaxed);
 }
 
-/// Returns false if a message of a newer incarnation of the node has arrived.
-bool is_newest(peers_duty& duty, const incoming_message& message)
+/// Records the sender's incarnation. Returns false if a message of a newer one
+/// has arrived.
+bool accept_incarnation(peers_duty& duty, const incoming_message& message)
 {
     std::uint64_t& newest = duty.incarnations[message.from];
     const bool has_restarted = newest != 0 && message.incarnation > newest;
@@ -281,7 +280,7 @@
         duty.unknown_sender.fetch_add(1, std::memory_order_relaxed);
         return;
     }
-    if (!is_newest(duty, message))
+    if (!accept_incarnation(duty, message))
     {
         duty.stale_incarnation.fetch_add(1, std::memory_order_relaxed);
         return;
@@ -478,27 +477,6 @@
     delete duty;
 }
 
-std::variant<peer_keys, failure> parse_peer_keys(const std::string& secret)
-{
-    char text[z85_key_size + 1] = {};
-    if (secret.size() != z85_key_size ||
-        zmq_curve_public(text, secret.c_str()) != 0)
-        return failure{
-            error_kind::invalid_setting,
-            "the peer key must be 40 characters of Z85"};
-    return peer_keys{text, secret};
-}
-
-std::variant<peer_keys, failure> read_peer_keys(const std::string& path)
-{
-    std::ifstream file(path);
-    std::string secret;
-    if (!std::getline(file, secret))
-        return failure{
-            error_kind::invalid_setting, "cannot read the key file " + path};
-    return parse_peer_keys(secret);
-}
-
 peers_options open_membership_options(
     const endpoint& address, const std::optional<endpoint>& bind)
 {
--- a/src/daemon/peers_duty.hpp
+++ b/src/daemon/peers_duty.hpp
@@ -13,6 +13,7 @@
 // push into the mailbox of the receiving duty.
 #pragma once
 
+#include "daemon/peer_keys.hpp"
 #include "settings/settings.hpp"
 #include "wire/envelope.pb.h"
 
@@ -42,13 +43,6 @@
     failure_domain domain;
 };
 
-/// The cluster's CURVE key pair, Z85 text of 40 characters each.
-struct peer_keys
-{
-    std::string public_key;
-    std::string secret_key;
-};
-
 /// Limits after which an unresponsive connection is closed and replaced.
 struct peers_timing
 {
@@ -157,13 +151,6 @@
 
 using message_handler = std::function<void(incoming_message&&)>;
 
-/// Reads a key file: the secret key in Z85, alone on the first line. Error:
-/// `invalid_setting`.
-std::variant<peer_keys, failure> read_peer_keys(const std::string& path);
-
-/// The key pair whose secret key is `secret`. Error: `invalid_setting`.
-std::variant<peer_keys, failure> parse_peer_keys(const std::string& secret);
-
 peers_duty_ptr make_peers_duty(peers_options options);
 
 /// Registers the handler of all messages of `kind`. Call only before `start`.
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -223,10 +223,8 @@
             static_cast<double>(counts.prefill_tokens - before.prefill_tokens) /
             seconds);
         before = counts;
-        const routing::prefill_speed& speed = view_.prefill_speeds[service];
-        load.set_prefill_speed(speed.tokens_per_ms);
-        load.set_prefill_samples(speed.samples);
-        load.set_fixed_ms(speed.fixed_ms);
+        site::write(
+            *load.mutable_prefill_speed(), view_.prefill_speeds[service]);
     }
     return report.SerializeAsString();
 }
@@ -354,16 +352,10 @@
         view_.allowances_at = time_point{duration(report.asked_at_us())};
     }
     for (const pb::service_speed& each : report.speeds())
-    {
-        routing::prefill_speed shared;
-        shared.tokens_per_ms = each.prefill_tokens_per_ms();
-        shared.fixed_ms = each.fixed_ms();
-        shared.samples = each.samples();
         routing::adopt_shared_speed(
             options_.prefill_speed,
             view_.prefill_speeds[{each.service()}],
-            shared);
-    }
+            site::read(each.prefill_speed()));
     if (report.is_leader())
     {
         std::set<std::string> silent(
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -397,10 +397,7 @@
     ++req->attempts;
     req->status = 0;
     req->fields.clear();
-    req->body.clear();
-    req->events.partial.clear();
-    req->events.searched = 0;
-    buffered_bytes_ -= std::exchange(req->buffered_bytes, 0);
+    drop_buffer(req);
     req->is_streaming = false;
     ++upstream.own_running;
     upstream.own_uncached_tokens += choice.uncached_tokens;
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -175,6 +175,8 @@
     /// while all together have.
     void check_buffer(const request_ptr& req);
     void give_up_answer(const request_ptr& req, const char* reason);
+    /// Drops what is buffered of the request's answer.
+    void drop_buffer(const request_ptr& req);
     void on_complete(const request_ptr& req);
     void on_failed(
         const request_ptr& req, failure_kind kind, const std::string& detail);
--- a/src/gateway/relay_answers.cpp
+++ b/src/gateway/relay_answers.cpp
@@ -165,13 +165,18 @@
 }
 
 void relay::give_up_answer(const request_ptr& req, const char* reason)
+{
+    drop_buffer(req);
+    pool_.cancel(req->ticket);
+    on_failed(req, failure_kind::malformed, reason);
+}
+
+void relay::drop_buffer(const request_ptr& req)
 {
     buffered_bytes_ -= std::exchange(req->buffered_bytes, 0);
     req->body.clear();
     req->events.partial.clear();
     req->events.searched = 0;
-    pool_.cancel(req->ticket);
-    on_failed(req, failure_kind::malformed, reason);
 }
 
 void relay::forward_events(const request_ptr& req, const std::string& events)
@@ -436,7 +441,7 @@
 {
     if (requests_.erase(req->number) == 0)
         return;
-    buffered_bytes_ -= std::exchange(req->buffered_bytes, 0);
+    drop_buffer(req);
     deadlines_.erase(req->deadline_entry);
     if (req->status == 0 || req->caller.expired())
         return;
--- a/src/site/control_duties.cpp
+++ b/src/site/control_duties.cpp
@@ -194,7 +194,9 @@
             options_.rent.prefill_speed, std::move(speeds));
         if (median.samples > 0)
             prefill_speeds_[each.name] = median;
-        demand.speed = prefill_speeds_[each.name];
+        const auto known = prefill_speeds_.find(each.name);
+        if (known != prefill_speeds_.end())
+            demand.speed = known->second;
         for (const target_count& wanted : due_orders(
                  options_.rent, rent_state_, each, demand, directory_, now))
         {
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -161,12 +161,11 @@
     if (site_.version != version_before)
     {
         limit_totals_.clear();
-        const auto accounts = site_.current ? site_.current->value.accounts
-                                            : std::vector<account>{};
-        for (const account& each : accounts)
-            if (each.rate > 0)
-                limit_totals_[each.name] = admission::window_total(
-                    options_.limits.bound, each.rate, each.burst);
+        if (site_.current)
+            for (const account& each : site_.current->value.accounts)
+                if (each.rate > 0)
+                    limit_totals_[each.name] = admission::window_total(
+                        options_.limits.bound, each.rate, each.burst);
         log_.write(
             log_line(decision::site_changed)
                 .with("version", site_.version)
@@ -317,9 +316,7 @@
             demand.requests =
                 static_cast<double>(each.running() + each.waiting());
             demand.prompt_tokens = each.prompt_rate();
-            demand.speed.tokens_per_ms = each.prefill_speed();
-            demand.speed.fixed_ms = each.fixed_ms();
-            demand.speed.samples = each.prefill_samples();
+            demand.speed = site::read(each.prefill_speed());
         }
     }
     send_report(message.from, report.asked_at_us());
@@ -374,13 +371,9 @@
     if (is_leader_)
         for (const auto& [service, speed] : prefill_speeds_)
         {
-            if (speed.samples <= 0)
-                continue;
             pb::service_speed& learned = *report.add_speeds();
             learned.set_service(service.value);
-            learned.set_prefill_tokens_per_ms(speed.tokens_per_ms);
-            learned.set_fixed_ms(speed.fixed_ms);
-            learned.set_samples(speed.samples);
+            write(*learned.mutable_prefill_speed(), speed);
         }
     if (is_leader_)
         for (const upstream_id& id : silent_upstreams_)
@@ -404,10 +397,11 @@
     const time_point now = uptime();
     update_leadership();
     announce_confirmation(now);
-    silent_upstreams_ = find_silent(
-        directory_,
-        options_.announcement_interval * max_missed_announcements,
-        now);
+    if (is_leader_)
+        silent_upstreams_ = find_silent(
+            directory_,
+            options_.announcement_interval * max_missed_announcements,
+            now);
     if (now - refreshes_sent_at_ >= refresh_interval)
     {
         refreshes_sent_at_ = now;
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -262,8 +262,8 @@
     admission::use_ledger limit_usage_;
     /// The limits of the accounts in the site in force.
     admission::account_totals limit_totals_;
-    /// Upstreams that no control node has heard from lately, as of the last
-    /// tick.
+    /// Upstreams that no control node has heard from lately, as of the leader's
+    /// last tick.
     std::vector<upstream_id> silent_upstreams_;
     std::map<service_name, std::uint64_t> judged_moves_;
     time_point next_rent_at_;
--- a/src/site/site_codec.cpp
+++ b/src/site/site_codec.cpp
@@ -32,6 +32,22 @@
         from.reason()};
 }
 
+void write(pb::prefill_speed_value& to, const routing::prefill_speed& from)
+{
+    to.set_tokens_per_ms(from.tokens_per_ms);
+    to.set_fixed_ms(from.fixed_ms);
+    to.set_samples(from.samples);
+}
+
+routing::prefill_speed read(const pb::prefill_speed_value& from)
+{
+    routing::prefill_speed to;
+    to.tokens_per_ms = from.tokens_per_ms();
+    to.fixed_ms = from.fixed_ms();
+    to.samples = from.samples();
+    return to;
+}
+
 void write(pb::upstream_value& to, const upstream& from)
 {
     to.set_id(from.id.value);
--- a/src/site/site_codec.hpp
+++ b/src/site/site_codec.hpp
@@ -1,6 +1,7 @@
 // Conversions between the messages of src/wire/site.proto and plain structs.
 #pragma once
 
+#include "routing/prefill_speed.hpp"
 #include "site/site_state.hpp"
 #include "site/upstream_directory.hpp"
 #include "wire/site.pb.h"
@@ -16,6 +17,10 @@
 void write(wire::site::move_value& to, const version_move& from);
 version_move read(const wire::site::move_value& from);
 
+void write(
+    wire::site::prefill_speed_value& to, const routing::prefill_speed& from);
+routing::prefill_speed read(const wire::site::prefill_speed_value& from);
+
 void write(wire::site::upstream_value& to, const upstream& from);
 /// Returns nothing if the state is not a known `upstream_state`.
 std::optional<upstream> read(const wire::site::upstream_value& from);
--- a/src/site/upstream_directory.cpp
+++ b/src/site/upstream_directory.cpp
@@ -67,8 +67,8 @@
             announcement.state > known.state);
 }
 
-/// The upstream of another id that started later at the same address: the
-/// address was given to it after the earlier one had ended.
+/// Whether an upstream with another id started later at the same address: the
+/// address was given to it after the announced one had ended.
 bool is_replaced(
     const upstream_directory& directory, const upstream& announcement)
 {
--- a/tests/admission/shared_limit_test.cpp
+++ b/tests/admission/shared_limit_test.cpp
@@ -75,8 +75,14 @@
             now - entry.started_at,
             {{account, admitted_within(entry.usage, options.bound, now)}},
             now);
-        entry.allowed = allowance(
-            ledger, options, name(index), account, total(), entries, now);
+        entry.allowed = allowances(
+                            ledger,
+                            options,
+                            name(index),
+                            {{account, total()}},
+                            entries,
+                            now)
+                            .at(account);
         entry.allowed_at = now;
     }
 
--- a/tests/site/entry_sync_test.cpp
+++ b/tests/site/entry_sync_test.cpp
@@ -4,7 +4,7 @@
 // answer while anything was on its way: control nodes with 0.15 of a core
 // neither answered operators nor renewed leases.
 #include "site/entry_sync.hpp"
-#include "site/site_codec.hpp"
+#include "site/sample_site.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -13,30 +13,13 @@
 
 using namespace bergamotusher;
 using namespace bergamotusher::site;
+using sample::announcement;
 
 namespace
 {
 
 constexpr time_point start{1000s};
 
-upstream announcement(
-    const std::string& id,
-    std::uint64_t sequence,
-    upstream_state state = upstream_state::ready)
-{
-    upstream value;
-    value.id = {id};
-    value.service = {"assistant-llm"};
-    value.address = "10.128.0.1:8080";
-    value.domain = {"nausori"};
-    value.version = {"v1"};
-    value.slots = 12;
-    value.started_ms = 1'700'000'000'000;
-    value.sequence = sequence;
-    value.state = state;
-    return value;
-}
-
 /// Control nodes and entries that exchange reports and directories. The node
 /// that receives an announcement tells all others; any message may be lost.
 struct fleet
@@ -210,14 +193,14 @@
     const entry_sync_options options;
     entry_sync_state sync;
     upstream_directory directory;
-    merge(directory, announcement("a", 1), start);
-    merge(directory, announcement("b", 1), start);
+    merge(directory, announcement("a", 10, 1), start);
+    merge(directory, announcement("b", 10, 1), start);
     const std::uint64_t before = directory.digest;
     sync.full_sent_at = start + 100s;
     const time_point now = start + 100s + 300ms;
     // The message about the drain was lost, and a full directory had been sent
     // just before.
-    merge(directory, announcement("a", 2, upstream_state::draining), now);
+    merge(directory, announcement("a", 10, 2, upstream_state::draining), now);
     const auto update =
         directory_update_for(options, directory, before, 0, sync, now + 400ms);
     REQUIRE(update.scope == directory_update_scope::changes);
@@ -265,7 +248,7 @@
     }
     for (std::uint64_t i = 0; i < upstreams; ++i)
     {
-        system.announce(i % 9, announcement("i-" + std::to_string(i), 1));
+        system.announce(i % 9, announcement("i-" + std::to_string(i), 10, 1));
         system.run(10ms);
     }
     system.run(4s);
@@ -285,7 +268,7 @@
 {
     fleet system(9, 77);
     for (int i = 0; i < 160; ++i)
-        system.announce(0, announcement("i-" + std::to_string(i), 1));
+        system.announce(0, announcement("i-" + std::to_string(i), 10, 1));
     system.run(3s);
     system.loss = 0.3;
     for (int drain = 0; drain < 10; ++drain)
@@ -293,7 +276,7 @@
         const std::string id = "i-" + std::to_string(drain);
         system.announce(
             static_cast<std::size_t>(drain) % 9,
-            announcement(id, 2, upstream_state::draining));
+            announcement(id, 10, 2, upstream_state::draining));
         system.run(2s);
         int late = 0;
         for (const fleet::entry& each : system.entries)
--- a/tests/site/sample_site.hpp
+++ b/tests/site/sample_site.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "site/site.hpp"
+#include "site/upstream_directory.hpp"
 
 namespace sample
 {
@@ -48,4 +49,23 @@
     return value;
 }
 
+/// An announcement of an upstream of service llm.
+inline site::upstream announcement(
+    const std::string& id,
+    std::int64_t started_ms,
+    std::uint64_t sequence,
+    site::upstream_state state = site::upstream_state::ready)
+{
+    site::upstream value;
+    value.id = {id};
+    value.service = {"llm"};
+    value.address = "10.0.0.1:80";
+    value.domain = {"north"};
+    value.version = {"v1"};
+    value.started_ms = started_ms;
+    value.sequence = sequence;
+    value.state = state;
+    return value;
+}
+
 } // namespace sample
--- a/tests/site/upstream_directory_test.cpp
+++ b/tests/site/upstream_directory_test.cpp
@@ -1,5 +1,6 @@
 // Guards against nodes with different directories: announcements arrive late,
 // twice, out of order, and from incarnations that have ended.
+#include "site/sample_site.hpp"
 #include "site/upstream_directory.hpp"
 
 #include <catch2/catch.hpp>
@@ -9,30 +10,13 @@
 
 using namespace bergamotusher;
 using namespace bergamotusher::site;
+using sample::announcement;
 
 namespace
 {
 
 constexpr time_point start{1000s};
 
-upstream announcement(
-    const std::string& id,
-    std::int64_t started_ms,
-    std::uint64_t sequence,
-    upstream_state state = upstream_state::ready)
-{
-    upstream value;
-    value.id = {id};
-    value.service = {"llm"};
-    value.address = "10.0.0.1:80";
-    value.domain = {"north"};
-    value.version = {"v1"};
-    value.started_ms = started_ms;
-    value.sequence = sequence;
-    value.state = state;
-    return value;
-}
-
 } // namespace
 
 TEST_CASE("keeps the newest announcement of an upstream")
