review: case 3, successors join only if they know the leader (CONFIG)

A script with real processes: machines of the core are replaced one each 18 s, and the successors' settings name three running machines but not the leading one. No successor joins; with the fourth replacement the core is lost. With TROUBLE=0 the leading machine is among the seeds, and the same replacements are borne.

--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -583,9 +583,12 @@
 {
     const bool is_control = index < first_entry();
     json seeds = json::array();
-    for (const address& each : control_addresses())
-        if (seeds.size() < 3)
-            seeds.push_back(each.text());
+    for (const unsigned each : seeds_)
+        seeds.push_back(control_address(each).text());
+    if (seeds_.empty())
+        for (const address& each : control_addresses())
+            if (seeds.size() < 3)
+                seeds.push_back(each.text());
     json value{
         {"nodeName",
          (is_control ? "core-" : "edge-") + zone(index) + "-" +
@@ -737,6 +740,11 @@
     members_ = std::move(members);
 }
 
+void deployment::set_seeds(std::vector<unsigned> seeds)
+{
+    seeds_ = std::move(seeds);
+}
+
 address deployment::worker_address(unsigned number) const
 {
     return {prefix_ + std::to_string(first_worker_octet + number), port_ + 4};
--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -196,6 +196,9 @@
     bool is_ready(unsigned entry) const;
     /// Replaces a control node in the list that callers pick from.
     void set_members(std::vector<unsigned> members);
+    /// The control nodes that the settings name as seeds from now on; without
+    /// it the first three members.
+    void set_seeds(std::vector<unsigned> seeds);
     /// An address for a worker or for the platform's API.
     address worker_address(unsigned number) const;
     std::string zone(unsigned number) const;
@@ -212,6 +215,7 @@
     unsigned port_ = 0;
     mutable std::mutex mutex_;
     std::vector<unsigned> members_;
+    std::vector<unsigned> seeds_;
     std::vector<std::unique_ptr<process>> processes_;
     std::unique_ptr<server> platform_;
 };
