--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -79,6 +79,13 @@
         duration(next_random(replica.random_state) % (spread + 1));
 }
 
+void forget_leader(replica& replica)
+{
+    if (!replica.leader.empty() && replica.leader != replica.options.self)
+        replica.silent_since.emplace(replica.leader, replica.leader_heard_at);
+    replica.leader = {};
+}
+
 void become_follower(
     replica& replica,
     actions& out,
@@ -95,12 +102,17 @@
         replica.hard_changed = true;
     }
     fail_reads(replica, out);
+    for (const auto& [id, peer] : replica.followers)
+        if (now - peer.heard_at > 2 * replica.options.timing.heartbeat)
+            replica.silent_since.emplace(id, peer.heard_at);
     replica.followers.clear();
     replica.pending_joiners.clear();
     replica.votes_granted.clear();
     if (replica.role == role::leader)
         reset_election_timer(replica, now);
     replica.role = role::follower;
+    if (replica.leader != leader)
+        forget_leader(replica);
     replica.leader = leader;
     if (changed)
         announce_role(replica, out);
--- a/src/consensus/encoding.cpp
+++ b/src/consensus/encoding.cpp
@@ -16,6 +16,7 @@
         to.add_voters(id.value);
     for (const node_id& id : from.learners)
         to.add_learners(id.value);
+    to.set_seats(from.seats);
 }
 
 membership read(const pb::members& from)
@@ -25,6 +26,7 @@
         to.voters.push_back({id});
     for (const std::string& id : from.learners())
         to.learners.push_back({id});
+    to.seats = from.seats();
     return to;
 }
 
@@ -108,6 +110,13 @@
     m.set_admit(from.admit);
     for (const entry& entry : from.entries)
         write(*m.add_entries(), entry);
+    for (const silent_voter& voter : from.silent)
+    {
+        pb::silent_voter& silent = *m.add_silent();
+        silent.set_id(voter.id.value);
+        silent.set_silent_for_us(
+            static_cast<std::uint64_t>(voter.silent_for.count()));
+    }
 }
 
 message read(const pb::append_request& m)
@@ -119,9 +128,14 @@
         m.commit(),
         m.sent_at_us(),
         m.admit(),
+        {},
         {}};
     for (const pb::log_entry& entry : m.entries())
         to.entries.push_back(read(entry));
+    for (const pb::silent_voter& voter : m.silent())
+        to.silent.push_back(
+            {{voter.id()},
+             duration(static_cast<std::int64_t>(voter.silent_for_us()))});
     return to;
 }
 
--- a/src/consensus/internal.hpp
+++ b/src/consensus/internal.hpp
@@ -43,6 +43,8 @@
     term_number term,
     const node_id& leader,
     time_point now);
+/// Records that the leader, if one was followed, is no longer heard from.
+void forget_leader(replica& replica);
 /// Draws a new election timeout, starting at `now`.
 void reset_election_timer(replica& replica, time_point now);
 /// Asks the voters whether they would vote for this replica, without raising
--- a/src/consensus/leader.cpp
+++ b/src/consensus/leader.cpp
@@ -117,21 +117,14 @@
     return std::nullopt;
 }
 
-/// The number of voters that repair aims for. Where every member votes, that is
-/// the number of members heard from recently, but at least `wanted_voters`.
-std::size_t target_voter_count(const replica& replica, time_point now)
+/// The voters that have not replied for two heartbeat intervals.
+std::vector<silent_voter> silent_voters(const replica& replica, time_point now)
 {
-    const limits& limits = replica.options.limits;
-    if (!limits.every_member_votes)
-        return limits.wanted_voters;
-    const auto heard_recently = [&](const auto& follower)
-    {
-        return now - follower.second.heard_at <
-               replica.options.timing.member_excluded_after;
-    };
-    const auto heard_count = static_cast<std::size_t>(std::count_if(
-        replica.followers.begin(), replica.followers.end(), heard_recently));
-    return std::max(limits.wanted_voters, heard_count + 1);
+    std::vector<silent_voter> silent;
+    for (const auto& [id, peer] : replica.followers)
+        if (is_voter(members_of(replica), id) && is_silent(replica, peer, now))
+            silent.push_back({id, now - peer.heard_at});
+    return silent;
 }
 
 /// True if `id` is responsive, admitted and not about to leave.
@@ -175,7 +168,10 @@
             progress fresh;
             fresh.next = last_index(replica.log) + 1;
             fresh.acked_at = replica.elected_at - replica.options.timing.lease;
-            fresh.heard_at = now;
+            const auto silent = replica.silent_since.find(id);
+            fresh.heard_at =
+                silent != replica.silent_since.end() ? silent->second : now;
+            fresh.known_since = now;
             tracked[id] =
                 known != replica.followers.end() ? known->second : fresh;
         }
@@ -189,6 +185,7 @@
     replica.elected_at = now;
     replica.followers.clear();
     update_followers(replica, now);
+    replica.silent_since.clear();
     replica.term_start = last_index(replica.log) + 1;
     entry first{.kind = entry_kind::no_op, .command = {}, .members = {}};
     // The first entry of the log records the initial membership from the
@@ -220,6 +217,7 @@
     if (peer.responsive && peer.in_flight < limits.in_flight)
         request.entries =
             entries_from(replica.log, peer.next, limits.append_bytes);
+    request.silent = replica.silent_voters;
     if (!request.entries.empty())
     {
         peer.next += request.entries.size();
@@ -242,6 +240,7 @@
 void heartbeat(replica& replica, actions& out, time_point now)
 {
     replica.heartbeat_at = now + replica.options.timing.heartbeat;
+    replica.silent_voters = silent_voters(replica, now);
     for (auto& [id, peer] : replica.followers)
     {
         if (is_silent(replica, peer, now))
@@ -372,11 +371,19 @@
          is_voter(members, self),
          !replica.leaving,
          false,
-         true});
+         true,
+         replica.leaving,
+         true,
+         false,
+         {},
+         now - replica.elected_at});
     for (const auto& [id, peer] : replica.followers)
     {
-        const bool heard =
-            now - peer.heard_at < options.timing.voter_lost_after;
+        const duration silent_for = now - peer.heard_at;
+        const duration known_for = now - peer.known_since;
+        // Each member is given time to answer a new leader.
+        const bool heard = silent_for < options.timing.voter_lost_after ||
+                           known_for < options.timing.election_min;
         health.push_back(
             {id,
              domain_of(id),
@@ -384,7 +391,12 @@
              heard && peer.unadmitted_storage_id == 0 && !peer.leaving,
              peer.unadmitted_storage_id != 0,
              peer.responsive &&
-                 peer.match + options.limits.caught_up_lag >= replica.commit});
+                 peer.match + options.limits.caught_up_lag >= replica.commit,
+             peer.leaving,
+             heard,
+             silent_for >= options.timing.member_excluded_after,
+             silent_for,
+             known_for});
     }
     return health;
 }
@@ -401,8 +413,11 @@
         append_membership(replica, out, with_learner(members, applicant), now);
         return;
     }
+    const limits& limits = replica.options.limits;
     const auto planned = plan_repair(
-        members, health_of(replica, now), target_voter_count(replica, now));
+        members,
+        health_of(replica, now),
+        {limits.wanted_voters, limits.every_member_votes});
     if (planned)
         append_membership(replica, out, *planned, now);
     else if (const auto removable = removable_learner(replica, now))
--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -39,12 +39,18 @@
         { return member.voter && member.live && member.domain == domain; }));
 }
 
-const member_health* lost_voter(const std::vector<member_health>& health)
+/// The voter that satisfies `condition` and has been silent for longest; null
+/// if there is none.
+template<class Condition>
+const member_health* longest_silent_voter(
+    const std::vector<member_health>& health, Condition condition)
 {
+    const member_health* longest = nullptr;
     for (const member_health& member : health)
-        if (member.voter && !member.live)
-            return &member;
-    return nullptr;
+        if (member.voter && condition(member) &&
+            (longest == nullptr || member.silent_for > longest->silent_for))
+            longest = &member;
+    return longest;
 }
 
 /// The live, caught-up learner whose failure domain has the fewest live voters;
@@ -80,6 +86,161 @@
     return worst;
 }
 
+membership with_seats(membership members, std::size_t seats)
+{
+    members.seats = static_cast<std::uint32_t>(seats);
+    return members;
+}
+
+/// The numbers and members on which the steps of a plan depend.
+struct repair_state
+{
+    std::size_t voters = 0;
+    std::size_t live = 0;
+    /// The number of voters aimed for.
+    std::size_t seats = 0;
+    const member_health* lost = nullptr;
+    const member_health* learner = nullptr;
+};
+
+repair_state repair_state_of(
+    const membership& members,
+    const std::vector<member_health>& health,
+    const repair_goal& goal)
+{
+    repair_state state;
+    state.voters = members.voters.size();
+    state.live = static_cast<std::size_t>(std::count_if(
+        health.begin(),
+        health.end(),
+        [](const member_health& member)
+        { return member.voter && member.live; }));
+    state.seats = goal.every_member_votes
+                      ? std::max(goal.wanted_voters, seat_count(members))
+                      : goal.wanted_voters;
+    state.lost = longest_silent_voter(
+        health, [](const member_health& member) { return !member.live; });
+    state.learner = learner_to_promote(health);
+    return state;
+}
+
+/// True if the live voters are a quorum without one of the others.
+bool may_demote(const repair_state& state)
+{
+    return state.live >= quorum_size(state.voters - 1);
+}
+
+/// True if a learner is ready and the live voters are a quorum with it.
+bool may_promote(const repair_state& state)
+{
+    return state.learner != nullptr && state.voters <= state.seats &&
+           state.live + 1 >= quorum_size(state.voters + 1);
+}
+
+/// True if every voter has answered this leader.
+bool all_voters_answered(const std::vector<member_health>& health)
+{
+    return std::all_of(
+        health.begin(),
+        health.end(),
+        [](const member_health& member)
+        { return !member.voter || member.silent_for < member.known_for; });
+}
+
+/// Makes a voter a learner that counts for no quorum, leaves, or whose seat a
+/// new member has taken.
+std::optional<membership> plan_demotion(
+    const membership& members,
+    const std::vector<member_health>& health,
+    const repair_goal& goal,
+    const repair_state& state)
+{
+    if (!may_demote(state))
+        return std::nullopt;
+    // Only a learner can be admitted. While the least number of voters is not
+    // exceeded, a learner that is ready is promoted first.
+    if (state.lost != nullptr && state.lost->unadmitted &&
+        (state.voters > goal.wanted_voters || !may_promote(state)))
+        return with_learner(members, state.lost->id);
+    // A member that leaves returns as a learner and is then promoted again.
+    const member_health* leaving = longest_silent_voter(
+        health,
+        [&](const member_health& member)
+        { return member.leaving && member.id != health.front().id; });
+    if (goal.every_member_votes && leaving != nullptr &&
+        state.voters > goal.wanted_voters)
+        return with_learner(with_seats(members, state.seats), leaving->id);
+    if (state.voters <= state.seats)
+        return std::nullopt;
+    if (state.lost != nullptr)
+        return with_learner(members, state.lost->id);
+    if (!goal.every_member_votes)
+        return with_learner(members, voter_to_demote(health)->id);
+    // The lost voter has returned before it was demoted: all of them stay.
+    if (all_voters_answered(health))
+        return with_seats(members, state.voters);
+    return std::nullopt;
+}
+
+/// True if every voter has answered since the leader knew `learner`, so that
+/// `learner` is not the successor of one that has just been removed.
+bool all_voters_heard_since(
+    const std::vector<member_health>& health, const member_health& learner)
+{
+    return std::all_of(
+        health.begin(),
+        health.end(),
+        [&](const member_health& member)
+        { return !member.voter || member.silent_for < learner.known_for; });
+}
+
+/// Promotes a learner to a vacant seat, to that of a lost voter, or, where
+/// every member votes, to a new one. A lost voter is demoted only after that,
+/// since until then its vote counts if it returns.
+std::optional<membership> plan_promotion(
+    const membership& members,
+    const std::vector<member_health>& health,
+    const repair_goal& goal,
+    const repair_state& state)
+{
+    if (!may_promote(state))
+        return std::nullopt;
+    membership promoted = with_voter(members, state.learner->id);
+    const bool has_seat = state.voters < state.seats || state.lost != nullptr;
+    if (!goal.every_member_votes)
+        return has_seat ? std::optional(promoted) : std::nullopt;
+    if (has_seat)
+        return with_seats(std::move(promoted), state.seats);
+    if (all_voters_heard_since(health, *state.learner))
+        return with_seats(std::move(promoted), state.seats + 1);
+    return std::nullopt;
+}
+
+/// Gives up the seat of a voter that is absent, and vacant seats for which no
+/// learner is heard from.
+std::optional<membership> plan_seats(
+    const membership& members,
+    const std::vector<member_health>& health,
+    const repair_goal& goal,
+    const repair_state& state)
+{
+    const member_health* absent = longest_silent_voter(
+        health, [](const member_health& member) { return member.absent; });
+    if (absent != nullptr && state.voters > goal.wanted_voters &&
+        may_demote(state))
+        return with_learner(with_seats(members, state.seats - 1), absent->id);
+    const auto candidates = static_cast<std::size_t>(std::count_if(
+        health.begin(),
+        health.end(),
+        [](const member_health& member)
+        { return !member.voter && member.heard; }));
+    const std::size_t filled =
+        std::max(goal.wanted_voters, state.voters + candidates);
+    if (state.seats > filled)
+        return with_seats(members, filled);
+    return std::nullopt;
+}
+
 } // namespace
 
 std::size_t quorum_size(std::size_t voters)
@@ -162,30 +323,23 @@
     return members;
 }
 
+std::size_t seat_count(const membership& members)
+{
+    return members.seats == 0 ? members.voters.size() : members.seats;
+}
+
 std::optional<membership> plan_repair(
     const membership& members,
     const std::vector<member_health>& health,
-    std::size_t wanted_voters)
+    const repair_goal& goal)
 {
-    const member_health* lost = lost_voter(health);
-    const member_health* learner = learner_to_promote(health);
-    const auto live = static_cast<std::size_t>(std::count_if(
-        health.begin(),
-        health.end(),
-        [](const member_health& member)
-        { return member.voter && member.live; }));
-    const std::size_t voters = members.voters.size();
-    // Promote before demoting a lost voter, so that its vote still counts if it
-    // returns.
-    if (learner != nullptr && live < wanted_voters && voters <= wanted_voters &&
-        live + 1 >= quorum_size(voters + 1))
-        return with_voter(members, learner->id);
-    if (lost != nullptr && live >= quorum_size(voters - 1) &&
-        (voters > wanted_voters || lost->unadmitted))
-        return with_learner(members, lost->id);
-    if (lost == nullptr && voters > wanted_voters)
-        return with_learner(members, voter_to_demote(health)->id);
-    return std::nullopt;
+    const repair_state state = repair_state_of(members, health, goal);
+    if (auto planned = plan_demotion(members, health, goal, state))
+        return planned;
+    if (auto planned = plan_promotion(members, health, goal, state))
+        return planned;
+    return goal.every_member_votes ? plan_seats(members, health, goal, state)
+                                   : std::nullopt;
 }
 
 } // namespace bergamotusher::consensus
--- a/src/consensus/membership.hpp
+++ b/src/consensus/membership.hpp
@@ -1,5 +1,6 @@
 // Rules for sets of voters: quorums, single-voter changes, and the plan that
-// maintains the wanted number of live voters.
+// maintains the wanted number of live voters. docs/design/consensus.md states
+// the invariant that the plan keeps.
 #pragma once
 
 #include "consensus/types.hpp"
@@ -36,6 +37,9 @@
 membership initial_membership(
     std::vector<configured_node> nodes, std::size_t wanted_voters);
 
+/// The number of voters that is maintained where every member votes.
+std::size_t seat_count(const membership& members);
+
 /// `members` with `id` as a voter; it is no longer a learner.
 membership with_voter(membership members, const node_id& id);
 /// `members` with `id` as a learner; it is no longer a voter.
@@ -56,13 +60,31 @@
     /// Its log is at most `limits::caught_up_lag` entries behind the commit
     /// index.
     bool caught_up = false;
+    /// Its instance is about to leave.
+    bool leaving = false;
+    /// Heard from recently, whatever its state.
+    bool heard = false;
+    /// Silent for `timing::member_excluded_after`.
+    bool absent = false;
+    /// Time since it last answered the leader.
+    duration silent_for{};
+    /// Time since the leader first knew it as a member.
+    duration known_for{};
+};
+
+/// What repair aims for.
+struct repair_goal
+{
+    /// The number of voters; the least number if every member votes.
+    std::size_t wanted_voters = 3;
+    bool every_member_votes = false;
 };
 
-/// The next single change towards `wanted_voters` live voters; nothing if none
-/// is needed or safe. `health` covers every member, the leader first.
+/// The next single change towards the goal; nothing if none is needed or safe.
+/// `health` covers every member, the leader first.
 std::optional<membership> plan_repair(
     const membership& members,
     const std::vector<member_health>& health,
-    std::size_t wanted_voters);
+    const repair_goal& goal);
 
 } // namespace bergamotusher::consensus
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -51,6 +51,7 @@
         send_join_queries(replica, out, now);
     if (now < replica.election_at)
         return;
+    forget_leader(replica);
     if (may_campaign(replica, now))
         start_pre_vote(replica, out, now);
     else
@@ -126,6 +127,7 @@
             },
             [&](const received& in)
             {
+                replica.silent_since.erase(in.from);
                 std::visit(
                     [&](const auto& content)
                     { handle(replica, out, in.from, content, now); },
@@ -238,6 +240,10 @@
     result.persisted_index = result.synced_index;
     result.leader_heard_at = now;
     result.join_query_sent_at = now - result.options.timing.heartbeat;
+    const membership& members = members_of(result);
+    for (const auto* ids : {&members.voters, &members.learners})
+        for (const node_id& id : *ids)
+            result.silent_since.emplace(id, now);
     reset_election_timer(result, now);
     return result;
 }
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -40,8 +40,8 @@
     double clock_drift = 0.05;
     /// A voter silent for this time counts as lost and is replaced.
     duration voter_lost_after = 3000ms;
-    /// Where every member votes, a member silent for this time no longer counts
-    /// towards the number of voters; longer than any restart of an instance.
+    /// Where every member votes, a voter silent for this time gives up its seat
+    /// even if no successor has joined; longer than any restart of an instance.
     duration member_excluded_after = 15000ms;
 };
 
@@ -93,7 +93,11 @@
     log_index match = 0;
     /// Send time of the newest message that it answered.
     time_point acked_at;
+    /// When it last replied; before its first reply, since when it has been
+    /// silent as far as this leader knows.
     time_point heard_at;
+    /// When this leader first knew it as a member.
+    time_point known_since;
     time_point sent_at;
     std::size_t in_flight = 0;
     /// Storage id of its new data folder while it is not admitted, else 0.
@@ -190,11 +194,17 @@
     std::set<node_id> empty_peers;
     time_point join_query_sent_at;
 
+    /// While this replica does not lead: since when members have been silent,
+    /// by the report of the last leader, or since the start.
+    std::map<node_id, time_point> silent_since;
+
     // Leadership.
     std::map<node_id, progress> followers;
     time_point elected_at;
     log_index term_start = 0;
     time_point heartbeat_at;
+    /// As of the last heartbeat.
+    std::vector<silent_voter> silent_voters;
     std::vector<pending_read> reads;
     /// Nodes that sent a join query and are not yet members.
     std::set<node_id> pending_joiners;
--- a/src/consensus/types.hpp
+++ b/src/consensus/types.hpp
@@ -27,6 +27,9 @@
 {
     std::vector<node_id> voters;
     std::vector<node_id> learners;
+    /// Where every member votes: the number of voters that the leader maintains
+    /// while no member joins or leaves. 0 stands for the number of `voters`.
+    std::uint32_t seats = 0;
 
     bool operator==(const membership&) const = default;
 };
@@ -118,6 +121,13 @@
     bool granted = false;
 };
 
+/// A voter that has not answered the leader for `silent_for`.
+struct silent_voter
+{
+    node_id id;
+    duration silent_for{};
+};
+
 /// Entries that follow the one at `previous_index`; none in a heartbeat.
 struct append_request
 {
@@ -131,6 +141,9 @@
     /// none.
     std::uint64_t admit = 0;
     std::vector<entry> entries;
+    /// Tells a later leader since when voters have been silent, so that its
+    /// election does not delay their replacement.
+    std::vector<silent_voter> silent;
 };
 
 /// Answers an append request; sent once the entries are synced.
--- /dev/null
+++ b/tests/consensus/replacement_test.cpp
@@ -0,0 +1,315 @@
+// Tests for replaced members and lost disks where every member votes: the
+// voters that are left bear the next loss as soon as a successor has had its
+// time to catch up, and no sound voter is excluded for that.
+#include "consensus/virtual_network.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace virtual_network;
+
+namespace
+{
+
+/// Time that a successor, or a member with a new disk, has to catch up before
+/// the next loss.
+constexpr duration catch_up_time = 4s;
+/// Time from a loss to the start of the successor.
+constexpr duration successor_delay = 1300ms;
+/// Time without a loss after which the cluster must work again.
+constexpr duration recovery_time = 12s;
+/// Members that may be lost, with their disks, at the same time.
+constexpr std::size_t max_lost = 1;
+
+network start_members(std::size_t count, std::uint64_t seed)
+{
+    network net = make_network(count, seed);
+    net.limits.every_member_votes = true;
+    net.limits.wanted_voters = 2 * max_lost + 1;
+    std::vector<node_id> seeds;
+    for (std::size_t i = 0; i < 3; ++i)
+        seeds.push_back(net.nodes[i].id);
+    for (node& each : net.nodes)
+        each.configured = seeds;
+    for (std::size_t i = 0; i < count; ++i)
+        start_node(net, i);
+    REQUIRE(run_until_leader(net));
+    run(net, 10s);
+    REQUIRE(members_of(net.nodes[*leader_of(net)].core).voters.size() == count);
+    return net;
+}
+
+const membership& current_members(const network& net)
+{
+    return members_of(net.nodes[leader_of(net).value()].core);
+}
+
+bool is_running(const network& net, const node_id& id)
+{
+    return std::any_of(
+        net.nodes.begin(),
+        net.nodes.end(),
+        [&](const node& each)
+        { return each.id == id && each.running && each.core.hard.admitted; });
+}
+
+/// The number of voters that may be lost now without losing the quorum.
+int spare_voters(const network& net)
+{
+    const auto& voters = current_members(net).voters;
+    const auto running = std::count_if(
+        voters.begin(),
+        voters.end(),
+        [&](const node_id& id) { return is_running(net, id); });
+    return static_cast<int>(running) -
+           static_cast<int>(quorum_size(voters.size()));
+}
+
+std::vector<std::size_t> running_nodes(const network& net)
+{
+    std::vector<std::size_t> found;
+    for (std::size_t i = 0; i < net.nodes.size(); ++i)
+        if (net.nodes[i].running)
+            found.push_back(i);
+    return found;
+}
+
+/// Which member is lost next.
+enum class target
+{
+    leader,
+    follower,
+    lowest_id,
+    highest_id
+};
+
+std::size_t choose(const network& net, target which)
+{
+    const auto running = running_nodes(net);
+    const auto leader = leader_of(net);
+    switch (which)
+    {
+    case target::leader:
+        return leader.value_or(running.front());
+    case target::follower:
+        return *std::find_if(
+            running.begin(),
+            running.end(),
+            [&](std::size_t i) { return i != leader; });
+    case target::lowest_id:
+        return running.front();
+    case target::highest_id:
+        return running.back();
+    }
+    return running.front();
+}
+
+std::vector<node_id>
+ids_of(const network& net, const std::vector<std::size_t>& nodes)
+{
+    std::vector<node_id> ids;
+    for (const std::size_t i : nodes)
+        ids.push_back(net.nodes[i].id);
+    return ids;
+}
+
+/// Three running members, the leader first.
+std::vector<node_id> seeds_now(const network& net)
+{
+    auto running = running_nodes(net);
+    const auto leader =
+        std::find(running.begin(), running.end(), leader_of(net).value_or(0));
+    if (leader != running.end())
+        std::iter_swap(running.begin(), leader);
+    running.resize(std::min<std::size_t>(running.size(), 3));
+    return ids_of(net, running);
+}
+
+void remove_for_good(network& net, std::size_t index)
+{
+    kill_node(net, index);
+    net.nodes[index].disk = {};
+}
+
+void restart(network& net, std::size_t index, duration down)
+{
+    kill_node(net, index);
+    run(net, down);
+    start_node(net, index);
+}
+
+void commit_something(network& net)
+{
+    const std::size_t before = net.applied_commands;
+    const auto leader = leader_of(net);
+    REQUIRE(leader);
+    step_node(net, *leader, propose{{"x"}});
+    run(net, 1s);
+    CHECK(net.applied_commands > before);
+}
+
+} // namespace
+
+// Guards against members that were removed for good and stayed voters until no
+// leader could be elected.
+TEST_CASE("members that are replaced one after the other do not use up the "
+          "quorum")
+{
+    const std::size_t count = GENERATE(3, 5, 9);
+    const target which = GENERATE(
+        target::leader,
+        target::follower,
+        target::lowest_id,
+        target::highest_id);
+    const std::uint64_t seed = GENERATE(1, 2, 3);
+    CAPTURE(count, static_cast<int>(which), seed);
+    network net = start_members(count, seed);
+    const std::size_t replacements = count + 2;
+
+    SECTION("with the successor after the loss")
+    {
+        for (std::size_t i = 0; i < replacements; ++i)
+        {
+            remove_for_good(net, choose(net, which));
+            run(net, successor_delay);
+            start_node(net, add_node(net, seeds_now(net)));
+            run(net, catch_up_time);
+            CAPTURE(i);
+            REQUIRE(leader_of(net));
+            CHECK(spare_voters(net) >= static_cast<int>(max_lost));
+        }
+    }
+    SECTION("with the successor before a planned stop")
+    {
+        for (std::size_t i = 0; i < replacements; ++i)
+        {
+            const std::size_t replaced = choose(net, which);
+            start_node(net, add_node(net, seeds_now(net)));
+            run(net, successor_delay);
+            step_node(net, replaced, prepare_to_leave{});
+            run(net, 1s);
+            remove_for_good(net, replaced);
+            run(net, catch_up_time);
+            CAPTURE(i);
+            REQUIRE(leader_of(net));
+            CHECK(spare_voters(net) >= static_cast<int>(max_lost));
+        }
+    }
+    SECTION("with a change of the leader in between")
+    {
+        for (std::size_t i = 0; i < replacements; ++i)
+        {
+            remove_for_good(net, choose(net, which));
+            run(net, successor_delay);
+            start_node(net, add_node(net, seeds_now(net)));
+            run(net, 1500ms);
+            if (const auto leader = leader_of(net))
+                step_node(net, *leader, prepare_to_leave{});
+            run(net, 500ms);
+            for (const std::size_t j : running_nodes(net))
+                if (net.nodes[j].core.leaving)
+                    restart(net, j, 300ms);
+            run(net, catch_up_time);
+            CAPTURE(i);
+            REQUIRE(leader_of(net));
+            CHECK(spare_voters(net) >= static_cast<int>(max_lost));
+        }
+    }
+    SECTION("with a restart of all members in between")
+    {
+        for (std::size_t i = 0; i < replacements; ++i)
+        {
+            remove_for_good(net, choose(net, which));
+            run(net, successor_delay);
+            start_node(net, add_node(net, seeds_now(net)));
+            run(net, catch_up_time / 2);
+            const auto running = running_nodes(net);
+            for (const std::size_t j : running)
+                kill_node(net, j);
+            run(net, 600ms);
+            for (const std::size_t j : running)
+                start_node(net, j);
+            run(net, catch_up_time);
+            CAPTURE(i);
+            REQUIRE(run_until_leader(net, recovery_time));
+        }
+    }
+    commit_something(net);
+    check_log_matching(net);
+}
+
+// Guards against a repair that takes the vote of a member that works.
+TEST_CASE("a sound voter is not excluded")
+{
+    const std::size_t count = GENERATE(3, 5, 9);
+    CAPTURE(count);
+    network net = start_members(count, 5);
+    const std::size_t other = choose(net, target::follower);
+    const node_id id = net.nodes[other].id;
+
+    SECTION("for being cut off for some seconds")
+    {
+        net.partition[other] = 1;
+        run(net, 10s);
+        CHECK(is_voter(current_members(net), id));
+        CHECK(current_members(net).voters.size() == count);
+    }
+    SECTION("with all others of a minority")
+    {
+        for (std::size_t i = 0, cut = 0; cut < (count - 1) / 2; ++i)
+            if (i != leader_of(net))
+            {
+                net.partition[i] = 1;
+                ++cut;
+            }
+        run(net, 10s);
+        CHECK(current_members(net).voters.size() == count);
+    }
+    SECTION("for being slow")
+    {
+        net.delay_max = 700ms;
+        run(net, 20s);
+        net.delay_max = 5ms;
+        REQUIRE(run_until_leader(net, recovery_time));
+        CHECK(current_members(net).voters.size() == count);
+    }
+    SECTION("for a slow disk")
+    {
+        net.nodes[other].disk.sync_time = 800ms;
+        for (int i = 0; i < 20; ++i)
+        {
+            step_node(net, leader_of(net).value(), propose{{"x"}});
+            run(net, 500ms);
+        }
+        CHECK(is_voter(current_members(net), id));
+    }
+    SECTION("for a planned restart")
+    {
+        step_node(net, other, prepare_to_leave{});
+        run(net, 1s);
+        restart(net, other, 500ms);
+        run(net, catch_up_time);
+        CHECK(is_voter(current_members(net), id));
+        CHECK(current_members(net).voters.size() == count);
+    }
+    SECTION("while a member joins that is not a successor")
+    {
+        start_node(net, add_node(net, seeds_now(net)));
+        run(net, catch_up_time);
+        CHECK(current_members(net).voters.size() == count + 1);
+    }
+    SECTION("for good when a new member took its seat")
+    {
+        net.partition[other] = 1;
+        run(net, 4s);
+        start_node(net, add_node(net, seeds_now(net)));
+        run(net, catch_up_time);
+        net.partition[other] = 0;
+        run(net, catch_up_time);
+        CHECK(is_voter(current_members(net), id));
+        CHECK(current_members(net).voters.size() == count + 1);
+    }
+    commit_something(net);
+    check_log_matching(net);
+}
--- a/tests/consensus/virtual_network.cpp
+++ b/tests/consensus/virtual_network.cpp
@@ -315,22 +315,28 @@
 
 } // namespace
 
+std::size_t add_node(network& net, std::vector<node_id> configured)
+{
+    const std::size_t index = net.nodes.size();
+    net.partition.push_back(0);
+    node& node = net.nodes.emplace_back();
+    node.id = {"n" + std::to_string(index)};
+    node.storage_id = net.random() | 1U;
+    node.configured = std::move(configured);
+    node.may_bootstrap = false;
+    const double drift = consensus::timing{}.clock_drift;
+    node.clock_rate = 1 + drift * (2 * random_fraction(net) - 1);
+    node.clock_offset = duration(net.random() % 1'000'000'000);
+    return index;
+}
+
 network make_network(std::size_t count, std::uint64_t seed)
 {
     network net;
     net.random.seed(seed);
     net.now = time_point(1h);
-    net.partition.assign(count, 0);
-    net.nodes.resize(count);
     for (std::size_t i = 0; i < count; ++i)
-    {
-        node& node = net.nodes[i];
-        node.id = {"n" + std::to_string(i)};
-        node.storage_id = net.random() | 1U;
-        const double drift = consensus::timing{}.clock_drift;
-        node.clock_rate = 1 + drift * (2 * random_fraction(net) - 1);
-        node.clock_offset = duration(net.random() % 1'000'000'000);
-    }
+        net.nodes[add_node(net, {})].may_bootstrap = true;
     return net;
 }
 
@@ -347,7 +353,12 @@
     replica_options options;
     options.self = node.id;
     for (const auto& other : net.nodes)
-        options.nodes.push_back({other.id, {"domain of " + other.id.value}});
+        if (node.configured.empty())
+            options.nodes.push_back(
+                {other.id, {"domain of " + other.id.value}});
+    for (const node_id& id : node.configured)
+        options.nodes.push_back({id, {}});
+    options.may_bootstrap_cluster = node.may_bootstrap;
     options.storage_id = node.storage_id;
     options.seed = net.random();
     options.limits = net.limits;
--- a/tests/consensus/virtual_network.hpp
+++ b/tests/consensus/virtual_network.hpp
@@ -43,6 +43,10 @@
 {
     node_id id;
     std::uint64_t storage_id = 0;
+    /// The nodes that its settings name; empty stands for all.
+    std::vector<node_id> configured;
+    /// Whether its next start may found a cluster.
+    bool may_bootstrap = true;
     bool running = false;
     /// Number of starts; tells whether a fault restarted the node meanwhile.
     std::size_t start_count = 0;
@@ -115,6 +119,10 @@
 /// with clock rates drawn within the allowed drift. They are not started.
 network make_network(std::size_t count, std::uint64_t seed);
 
+/// Adds a node with an empty disk that may not found a cluster; returns its
+/// index. It is not started.
+std::size_t add_node(network& net, std::vector<node_id> configured);
+
 void start_node(network& net, std::size_t index);
 /// Stops a node without warning. A random number of its unsynced writes, oldest
 /// first, still reaches the disk; the others are lost.
