--- a/src/consensus/encoding.cpp
+++ b/src/consensus/encoding.cpp
@@ -213,6 +213,16 @@
     auto& m = *to.mutable_join_answer();
     m.set_storage_id(from.storage_id);
     m.set_empty(from.empty);
+    for (const node_id& id : from.members)
+        m.add_members(id.value);
+}
+
+message read(const pb::join_answer& m)
+{
+    join_answer to{m.storage_id(), m.empty(), {}};
+    for (const std::string& id : m.members())
+        to.members.push_back({id});
+    return to;
 }
 
 void write(pb::consensus_message& to, const campaign_now& from)
@@ -265,8 +275,7 @@
     case kind::kJoinQuery:
         return join_query{m.join_query().storage_id()};
     case kind::kJoinAnswer:
-        return join_answer{
-            m.join_answer().storage_id(), m.join_answer().empty()};
+        return read(m.join_answer());
     case kind::kFreshnessQuery:
         return freshness_query{m.freshness_query().token()};
     case kind::kFreshnessAnswer:
--- a/src/consensus/follower.cpp
+++ b/src/consensus/follower.cpp
@@ -102,6 +102,7 @@
         replica.leader != from)
         become_follower(replica, out, request.term, from, now);
     replica.leader_heard_at = now;
+    replica.introduced_members.clear();
     replica.silent_since.clear();
     for (const silent_voter& voter : request.silent)
         replica.silent_since.emplace(voter.id, now - voter.silent_for);
--- a/src/consensus/internal.hpp
+++ b/src/consensus/internal.hpp
@@ -64,9 +64,11 @@
 
 // Joining (joining.cpp).
 
-/// Sends a join query to every configured node, at most once per heartbeat
-/// interval, and founds the cluster if the conditions hold.
-void send_join_queries(replica& replica, actions& out, time_point now);
+/// While this replica is not admitted: sends join queries at most once per
+/// heartbeat interval, and founds the cluster if the conditions hold.
+void join_if_due(replica& replica, actions& out, time_point now);
+/// Sends a join query to every node that may be a member.
+void send_join_queries(const replica& replica, actions& out);
 /// Marks the replica as admitted: from now on it may vote and counts for
 /// quorums.
 void admit(replica& replica, actions& out, time_point now);
--- a/src/consensus/joining.cpp
+++ b/src/consensus/joining.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Limits the state that answers of other nodes can create.
+constexpr std::size_t max_introduced_members = 1024;
+
 /// True if the replica has no term and no log entry.
 bool is_empty(const replica& replica)
 {
@@ -50,18 +53,30 @@
     reset_election_timer(replica, now);
 }
 
-void send_join_queries(replica& replica, actions& out, time_point now)
+void join_if_due(replica& replica, actions& out, time_point now)
 {
     const duration interval = replica.options.timing.heartbeat;
     if (now < replica.join_query_sent_at + interval)
         return;
     replica.join_query_sent_at = now;
-    for (const configured_node& node : replica.options.nodes)
-        if (node.id != replica.options.self)
-            send_now(out, node.id, join_query{replica.options.storage_id});
+    send_join_queries(replica, out);
     found_cluster_if_ready(replica, out, now);
 }
 
+void send_join_queries(const replica& replica, actions& out)
+{
+    std::set<node_id> targets = replica.introduced_members;
+    for (const configured_node& node : replica.options.nodes)
+        targets.insert(node.id);
+    // The initial membership names configured nodes only.
+    const membership& members = members_of(replica);
+    for (const auto* ids : {&members.voters, &members.learners})
+        targets.insert(ids->begin(), ids->end());
+    targets.erase(replica.options.self);
+    for (const node_id& target : targets)
+        send_now(out, target, join_query{replica.options.storage_id});
+}
+
 void handle(
     replica& replica,
     actions& out,
@@ -73,7 +88,13 @@
     if (replica.role == role::leader && !is_voter(members, from) &&
         !is_learner(members, from))
         replica.pending_joiners.insert(from);
-    send_now(out, from, join_answer{query.storage_id, is_empty(replica)});
+    join_answer answer{query.storage_id, is_empty(replica), {}};
+    // The settings of the node that asks need not name the leader.
+    if (last_index(replica.log) > 0)
+        for (const auto* ids : {&members.voters, &members.learners})
+            answer.members.insert(
+                answer.members.end(), ids->begin(), ids->end());
+    send_now(out, from, answer);
 }
 
 void handle(
@@ -85,6 +106,9 @@
 {
     if (answer.storage_id != replica.options.storage_id)
         return;
+    for (const node_id& member : answer.members)
+        if (replica.introduced_members.size() < max_introduced_members)
+            replica.introduced_members.insert(member);
     if (!answer.empty)
         replica.empty_peers.erase(from);
     else if (replica.empty_peers.insert(from).second)
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -44,14 +44,18 @@
         transfer_leadership(replica, out, now);
 }
 
-/// Sends join queries if not admitted, and starts an election when due.
+/// Asks to join if not admitted, and starts an election when due.
 void tick_non_leader(replica& replica, actions& out, time_point now)
 {
     if (!replica.hard.admitted)
-        send_join_queries(replica, out, now);
+        join_if_due(replica, out, now);
     if (now < replica.election_at)
         return;
     forget_leader(replica);
+    // This replica may have been removed while it was cut off; the leader then
+    // adds it again.
+    if (replica.options.limits.every_member_votes)
+        send_join_queries(replica, out);
     if (may_campaign(replica, now))
         start_pre_vote(replica, out, now);
     else
@@ -139,6 +143,8 @@
                 if (!append_membership(replica, out, in.members, now))
                     out.emplace_back(refused{error_kind::not_leader});
             },
+            [&](const configure_nodes& in)
+            { replica.options.nodes = in.nodes; },
             [&](const prepare_to_leave&) { replica.leaving = true; },
             [&](const storage_synced& in)
             { handle_synced(replica, out, in.token, now); },
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -64,6 +64,7 @@
     std::size_t wanted_voters = 3;
     /// Every member that is heard from becomes a voter; `wanted_voters` is then
     /// the size of the first set of voters and the least number aimed for.
+    /// Membership may then change at run time beyond the configured nodes.
     bool every_member_votes = false;
 };
 
@@ -192,6 +193,9 @@
     // Joining with a new data folder.
     /// Nodes that reported an empty data folder.
     std::set<node_id> empty_peers;
+    /// Members named by nodes that answered a join query, since a leader was
+    /// last heard from.
+    std::set<node_id> introduced_members;
     time_point join_query_sent_at;
 
     /// While this replica does not lead: since when members have been silent,
@@ -235,6 +239,12 @@
     membership members;
 };
 
+/// The settings name other nodes than before.
+struct configure_nodes
+{
+    std::vector<configured_node> nodes;
+};
+
 /// The instance of this node is about to leave: if it leads, it transfers
 /// leadership; it is replaced as a voter while it still works.
 struct prepare_to_leave
@@ -270,6 +280,7 @@
     received,
     propose,
     change_members,
+    configure_nodes,
     prepare_to_leave,
     storage_synced,
     storage_broken,
--- a/src/consensus/types.hpp
+++ b/src/consensus/types.hpp
@@ -186,8 +186,8 @@
     std::int64_t sent_at_us = 0;
 };
 
-/// Sent by a replica that is not admitted, to join a cluster or to learn
-/// whether one exists.
+/// Sent by a replica that is not admitted or knows no leader, to join a cluster
+/// or to learn whether one exists.
 struct join_query
 {
     std::uint64_t storage_id = 0;
@@ -199,6 +199,9 @@
     std::uint64_t storage_id = 0;
     /// The replier has no term and no log entry.
     bool empty = false;
+    /// The members in the replier's log, any of which may lead; empty if the
+    /// log is.
+    std::vector<node_id> members;
 };
 
 /// Asks for the newest index that may be committed.
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -366,6 +366,19 @@
         duty.loop, [&duty] { step_core(duty, consensus::prepare_to_leave{}); });
 }
 
+void configure_nodes(control_duty& duty, std::vector<peer_address> nodes)
+{
+    boost::asio::post(
+        duty.loop,
+        [&duty, nodes = std::move(nodes)]() mutable
+        {
+            duty.options.nodes = std::move(nodes);
+            step_core(
+                duty,
+                consensus::configure_nodes{configured_nodes(duty.options)});
+        });
+}
+
 bool has_left(const control_duty& duty)
 {
     const control_status status = status_of(duty);
--- a/src/daemon/control_duty.hpp
+++ b/src/daemon/control_duty.hpp
@@ -176,6 +176,9 @@
 /// called from any thread; `has_left` tells when this is done.
 void leave(control_duty& duty);
 
+/// Replaces `control_options::nodes`. May be called from any thread.
+void configure_nodes(control_duty& duty, std::vector<peer_address> nodes);
+
 /// True if this node is neither the leader nor a voter, so that it can stop
 /// without effect on the quorum.
 bool has_left(const control_duty& duty);
--- a/src/daemon/control_start.cpp
+++ b/src/daemon/control_start.cpp
@@ -57,8 +57,7 @@
 {
     consensus::replica_options result;
     result.self = options.self;
-    for (const peer_address& node : options.nodes)
-        result.nodes.push_back({node.id, node.domain});
+    result.nodes = configured_nodes(options);
     result.may_bootstrap_cluster = options.may_bootstrap_cluster;
     result.storage_id = storage_id;
     result.seed = options.seed;
@@ -118,6 +117,16 @@
 
 } // namespace
 
+std::vector<consensus::configured_node>
+configured_nodes(const control_options& options)
+{
+    std::vector<consensus::configured_node> nodes;
+    nodes.reserve(options.nodes.size());
+    for (const peer_address& node : options.nodes)
+        nodes.push_back({node.id, node.domain});
+    return nodes;
+}
+
 std::optional<failure> start(control_duty& duty)
 {
     const time_point started_at = steady_now();
--- a/src/daemon/control_state.hpp
+++ b/src/daemon/control_state.hpp
@@ -70,6 +70,10 @@
     std::optional<std::uint64_t> required_index;
 };
 
+/// The nodes that the options name, as the replica takes them.
+std::vector<consensus::configured_node>
+configured_nodes(const control_options& options);
+
 struct control_duty
 {
     control_duty(
--- a/src/site/control_process.cpp
+++ b/src/site/control_process.cpp
@@ -73,12 +73,20 @@
     std::optional<time_point> stopping_since_;
 };
 
+std::vector<peer_address> seed_addresses(const std::vector<node_id>& seeds)
+{
+    std::vector<peer_address> addresses;
+    addresses.reserve(seeds.size());
+    for (const node_id& seed : seeds)
+        addresses.push_back({seed, seed.value, {}});
+    return addresses;
+}
+
 control_options make_replica_options(const control_settings& settings)
 {
     control_options options;
     options.self.value = to_string(settings.peer_address);
-    for (const node_id& seed : settings.seeds)
-        options.nodes.push_back({seed, seed.value, {}});
+    options.nodes = seed_addresses(settings.seeds);
     options.may_bootstrap_cluster = settings.may_found;
     options.data_dir = settings.data_dir;
     options.limits.every_member_votes = true;
@@ -282,6 +290,13 @@
                     .with("seeds", static_cast<int>(newer->seeds.size())),
                 now);
             settings_.grace = newer->grace;
+            // A node that has not joined yet asks the nodes named now.
+            if (newer->seeds != settings_.seeds)
+            {
+                settings_.seeds = newer->seeds;
+                configure_nodes(*control_, seed_addresses(newer->seeds));
+                service_.configure_seeds(newer->seeds);
+            }
         }
     }
     if (stopping_since_)
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -111,6 +111,11 @@
     schedule();
 }
 
+void control_service::configure_seeds(std::vector<node_id> seeds)
+{
+    options_.seeds = std::move(seeds);
+}
+
 void control_service::schedule()
 {
     timer_.expires_after(tick_interval);
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -155,6 +155,8 @@
     /// Connects the service to the other duties; call it before they start.
     void connect(control_duty& control, peers_duty& peers);
     void start();
+    /// Replaces `control_service_options::seeds`.
+    void configure_seeds(std::vector<node_id> seeds);
 
     // Operators. The callback gets no outcome if it is unknown whether the
     // change was committed.
--- a/tests/consensus/open_membership_test.cpp
+++ b/tests/consensus/open_membership_test.cpp
@@ -93,7 +93,7 @@
         time_point now{1s};
         replica joiner = make_replica(options, {}, now);
         for (const char* other : {"n1", "n2"})
-            step(joiner, received{{other}, join_answer{7, true}}, now);
+            step(joiner, received{{other}, join_answer{7, true, {}}}, now);
         for (int i = 0; i < 100; ++i)
             step(joiner, tick{}, now += 100ms);
         CHECK(joiner.hard.admitted == may_found);
--- a/tests/consensus/replacement_test.cpp
+++ b/tests/consensus/replacement_test.cpp
@@ -114,14 +114,14 @@
     return ids;
 }
 
-/// Three running members, the leader first.
-std::vector<node_id> seeds_now(const network& net)
+/// Three running members, without the leader if `without_leader` is set.
+std::vector<node_id> seeds_now(const network& net, bool without_leader = false)
 {
     auto running = running_nodes(net);
-    const auto leader =
-        std::find(running.begin(), running.end(), leader_of(net).value_or(0));
-    if (leader != running.end())
-        std::iter_swap(running.begin(), leader);
+    if (without_leader)
+        running.erase(
+            std::remove(running.begin(), running.end(), leader_of(net).value()),
+            running.end());
     running.resize(std::min<std::size_t>(running.size(), 3));
     return ids_of(net, running);
 }
@@ -180,6 +180,19 @@
             CHECK(spare_voters(net) >= static_cast<int>(max_lost));
         }
     }
+    SECTION("with the successor at the moment of the loss")
+    {
+        for (std::size_t i = 0; i < replacements; ++i)
+        {
+            const auto seeds = seeds_now(net);
+            remove_for_good(net, choose(net, which));
+            start_node(net, add_node(net, seeds));
+            run(net, catch_up_time);
+            CAPTURE(i);
+            REQUIRE(leader_of(net));
+            CHECK(spare_voters(net) >= static_cast<int>(max_lost));
+        }
+    }
     SECTION("with the successor before a planned stop")
     {
         for (std::size_t i = 0; i < replacements; ++i)
@@ -239,6 +252,66 @@
     check_log_matching(net);
 }
 
+// Guards against successors that never joined because their settings did not
+// name the leader.
+TEST_CASE("a new member joins through any member that its settings name")
+{
+    const std::size_t count = GENERATE(3, 5, 9);
+    const std::uint64_t seed = GENERATE(1, 2, 3);
+    CAPTURE(count, seed);
+    network net = start_members(count, seed);
+
+    SECTION("that does not lead")
+    {
+        const std::size_t added = add_node(net, seeds_now(net, true));
+        start_node(net, added);
+        run(net, catch_up_time);
+        CHECK(is_voter(current_members(net), net.nodes[added].id));
+    }
+    SECTION("that does not lead, while the leader changes")
+    {
+        for (std::size_t i = 0; i < count + 2; ++i)
+        {
+            const auto seeds = seeds_now(net, true);
+            remove_for_good(net, choose(net, target::leader));
+            run(net, successor_delay);
+            const std::size_t added = add_node(net, seeds);
+            start_node(net, added);
+            run(net, catch_up_time);
+            CAPTURE(i);
+            REQUIRE(leader_of(net));
+            CHECK(is_voter(current_members(net), net.nodes[added].id));
+        }
+    }
+    SECTION("and is the only one of them that is left")
+    {
+        const std::size_t added =
+            add_node(net, {{"n0"}, net.nodes[count - 1].id, {"n1"}});
+        net.partition[0] = 1;
+        net.partition[1] = 1;
+        if (count == 3)
+            net.partition[1] = 0;
+        start_node(net, added);
+        run(net, recovery_time);
+        CHECK(is_voter(current_members(net), net.nodes[added].id));
+    }
+    SECTION("once the settings name one")
+    {
+        const std::size_t gone = choose(net, target::follower);
+        remove_for_good(net, gone);
+        const std::size_t added = add_node(net, {net.nodes[gone].id});
+        start_node(net, added);
+        run(net, catch_up_time);
+        REQUIRE_FALSE(is_voter(current_members(net), net.nodes[added].id));
+        std::vector<configured_node> nodes;
+        for (const node_id& id : seeds_now(net))
+            nodes.push_back({id, {}});
+        step_node(net, added, configure_nodes{nodes});
+        run(net, catch_up_time);
+        CHECK(is_voter(current_members(net), net.nodes[added].id));
+    }
+}
+
 // Guards against a repair that takes the vote of a member that works.
 TEST_CASE("a sound voter is not excluded")
 {
@@ -299,6 +372,19 @@
         run(net, catch_up_time);
         CHECK(current_members(net).voters.size() == count + 1);
     }
+    SECTION("for good when it was cut off for long and removed")
+    {
+        // The settings of the others do not name it.
+        const std::size_t last =
+            choose(net, target::highest_id) == leader_of(net)
+                ? choose(net, target::highest_id) - 1
+                : choose(net, target::highest_id);
+        net.partition[last] = 1;
+        run(net, 40s);
+        net.partition[last] = 0;
+        run(net, catch_up_time);
+        CHECK(is_voter(current_members(net), net.nodes[last].id));
+    }
     SECTION("for good when a new member took its seat")
     {
         net.partition[other] = 1;
@@ -313,3 +399,41 @@
     commit_something(net);
     check_log_matching(net);
 }
+
+// Guards against members without the others that form a cluster of their own.
+TEST_CASE("members that are cut off from the quorum found no second cluster")
+{
+    const std::size_t count = GENERATE(3, 5, 9);
+    const std::uint64_t seed = GENERATE(1, 2, 3);
+    CAPTURE(count, seed);
+    network net = start_members(count, seed);
+    commit_something(net);
+    // One member of the cluster, two that join, and one that lost its disk.
+    const std::size_t other = choose(net, target::follower);
+    const std::size_t wiped = choose(net, target::highest_id) == leader_of(net)
+                                  ? choose(net, target::lowest_id)
+                                  : choose(net, target::highest_id);
+    net.partition[other] = 1;
+    net.partition[wiped] = 1;
+    replace_disk(net, wiped);
+    for (int i = 0; i < 2; ++i)
+    {
+        const std::size_t added =
+            add_node(net, {net.nodes[other].id, net.nodes[wiped].id});
+        net.partition[added] = 1;
+        start_node(net, added);
+    }
+    for (int i = 0; i < 100; ++i)
+    {
+        run(net, 200ms);
+        for (std::size_t j = 0; j < net.nodes.size(); ++j)
+            if (net.partition[j] == 1)
+                CHECK(net.nodes[j].core.role != role::leader);
+    }
+    net.partition.assign(net.nodes.size(), 0);
+    run(net, recovery_time);
+    REQUIRE(leader_of(net));
+    CHECK(current_members(net).voters.size() == count + 2);
+    commit_something(net);
+    check_log_matching(net);
+}
