--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -159,9 +159,11 @@
         return std::nullopt;
     // Only a learner can be admitted. While the least number of voters is not
     // exceeded, a learner that is ready is promoted first.
-    if (state.lost != nullptr && state.lost->unadmitted &&
+    const member_health* unadmitted = longest_silent_voter(
+        health, [](const member_health& member) { return member.unadmitted; });
+    if (unadmitted != nullptr &&
         (state.voters > goal.wanted_voters || !may_promote(state)))
-        return with_learner(members, state.lost->id);
+        return with_learner(members, unadmitted->id);
     // A member that leaves returns as a learner and is then promoted again.
     const member_health* leaving = longest_silent_voter(
         health,
--- a/tests/consensus/replacement_test.cpp
+++ b/tests/consensus/replacement_test.cpp
@@ -252,6 +252,73 @@
     check_log_matching(net);
 }
 
+// Guards against a member with a new disk that was not admitted again while
+// another voter was gone for good.
+TEST_CASE("a member that lost its disk votes again behind one that is gone")
+{
+    const std::size_t count = GENERATE(3, 5, 9);
+    const target which = GENERATE(target::lowest_id, target::highest_id);
+    const bool has_successor = GENERATE(true, false);
+    CAPTURE(count, static_cast<int>(which), has_successor);
+    // Without a successor, three members cannot bear a second loss.
+    if (!has_successor && count == 3)
+        return;
+    network net = start_members(count, 4);
+    remove_for_good(net, choose(net, which));
+    if (has_successor)
+    {
+        run(net, successor_delay);
+        start_node(net, add_node(net, seeds_now(net)));
+    }
+    run(net, catch_up_time);
+    for (int i = 0; i < 4; ++i)
+    {
+        const std::size_t lost =
+            choose(net, i % 2 == 0 ? target::follower : target::highest_id);
+        kill_node(net, lost);
+        run(net, 1s);
+        replace_disk(net, lost);
+        run(net, catch_up_time);
+        CAPTURE(i, lost);
+        REQUIRE(leader_of(net));
+        CHECK(net.nodes[lost].core.hard.admitted);
+        CHECK(is_voter(current_members(net), net.nodes[lost].id));
+    }
+    commit_something(net);
+    check_log_matching(net);
+}
+
+// The same where the settings fix the number of voters, which has no learners
+// to promote.
+TEST_CASE("a configured voter that lost its disk votes again behind one that "
+          "is gone")
+{
+    network net = make_network(5, 8);
+    net.limits.wanted_voters = 5;
+    for (std::size_t i = 0; i < net.nodes.size(); ++i)
+        start_node(net, i);
+    REQUIRE(run_until_leader(net));
+    run(net, 5s);
+    const std::size_t gone =
+        choose(net, GENERATE(target::lowest_id, target::highest_id));
+    if (gone == leader_of(net))
+        return;
+    CAPTURE(gone);
+    kill_node(net, gone);
+    run(net, 5s);
+    for (int i = 0; i < 4; ++i)
+    {
+        const std::size_t lost = choose(net, target::follower);
+        replace_disk(net, lost);
+        run(net, catch_up_time);
+        CAPTURE(i, lost);
+        REQUIRE(leader_of(net));
+        CHECK(net.nodes[lost].core.hard.admitted);
+        CHECK(is_voter(current_members(net), net.nodes[lost].id));
+    }
+    commit_something(net);
+}
+
 // Guards against successors that never joined because their settings did not
 // name the leader.
 TEST_CASE("a new member joins through any member that its settings name")
@@ -328,6 +395,17 @@
         CHECK(is_voter(current_members(net), id));
         CHECK(current_members(net).voters.size() == count);
     }
+    SECTION("for being cut off beside a lost disk")
+    {
+        if (count == 3)
+            return;
+        net.partition[other] = 1;
+        run(net, 4s);
+        replace_disk(net, choose(net, target::highest_id));
+        run(net, 6s);
+        CHECK(is_voter(current_members(net), id));
+        CHECK(current_members(net).voters.size() == count);
+    }
     SECTION("with all others of a minority")
     {
         for (std::size_t i = 0, cut = 0; cut < (count - 1) / 2; ++i)
