--- a/src/site/control_directory.cpp
+++ b/src/site/control_directory.cpp
@@ -4,6 +4,7 @@
 #include "site/control_service.hpp"
 #include "site/site_codec.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace bergamotusher::site
@@ -26,9 +27,43 @@
 
 } // namespace
 
-void control_service::announce(const upstream& announcement)
+void control_service::announce(
+    const upstream& announcement, acknowledgement done)
 {
     const time_point now = uptime();
+    if (is_outdated(site_.departures, announcement))
+        return done(true);
+    if (announcement.state == upstream_state::ready)
+    {
+        if (accepts_announcements_)
+            merge_announcement(announcement, now);
+        else
+            held_announcements_[announcement.id] = announcement;
+        return done(true);
+    }
+    merge_announcement(announcement, now);
+    record_departure(
+        announcement.id,
+        {announcement.started_ms, announcement.sequence, false, 0},
+        std::move(done));
+}
+
+void control_service::merge_held_announcements(time_point now)
+{
+    if (accepts_announcements_ || !ready())
+        return;
+    // The confirmed state may not have been read yet.
+    on_state_changed();
+    accepts_announcements_ = true;
+    for (const auto& [id, announcement] :
+         std::exchange(held_announcements_, {}))
+        if (!is_outdated(site_.departures, announcement))
+            merge_announcement(announcement, now);
+}
+
+void control_service::merge_announcement(
+    const upstream& announcement, time_point now)
+{
     const merge_outcome outcome = merge(directory_, announcement, now);
     if (outcome == merge_outcome::stale)
         return;
@@ -50,8 +85,6 @@
             .with("leaves_in_ms", announcement.leaves_in)
             .with("from", "upstream"),
         now);
-    // The upstream counts on an acknowledged drain, which must not be lost with
-    // this node.
     if (announcement.state == upstream_state::ready)
         broadcast_soon(announcement);
     else
@@ -59,18 +92,80 @@
 }
 
 void control_service::withdraw(
-    const upstream_id& id, std::int64_t started_ms, std::uint64_t sequence)
+    const upstream_id& id,
+    std::int64_t started_ms,
+    std::uint64_t sequence,
+    acknowledgement done)
 {
     const time_point now = uptime();
-    if (!mark_gone(directory_, id, started_ms, sequence, now))
-        return;
-    log_.write(
-        log_line(decision::upstream_changed)
-            .with("upstream", id.value)
-            .with("state", "gone")
-            .with("from", "upstream"),
-        now);
-    broadcast({directory_.upstreams.at(id).value});
+    if (mark_gone(directory_, id, started_ms, sequence, now))
+    {
+        log_.write(
+            log_line(decision::upstream_changed)
+                .with("upstream", id.value)
+                .with("state", "gone")
+                .with("from", "upstream"),
+            now);
+        broadcast({directory_.upstreams.at(id).value});
+    }
+    const auto known = directory_.upstreams.find(id);
+    if (started_ms == 0)
+    {
+        // Without the incarnation nothing tells which announcements to reject.
+        if (known == directory_.upstreams.end())
+            return done(false);
+        started_ms = known->second.value.started_ms;
+    }
+    record_departure(id, {started_ms, sequence, true, 0}, std::move(done));
+}
+
+void control_service::record_departure(
+    const upstream_id& id, const departure& value, acknowledgement done)
+{
+    if (is_recorded(site_.departures, id, value))
+        return done(true);
+    propose_change(
+        encode_record_departure(id, value, time_of_day()),
+        [this, id, done = std::move(done)](
+            const std::optional<command_outcome>& outcome)
+        {
+            const bool recorded = outcome && !outcome->wrong;
+            if (!recorded)
+                log_.write(
+                    log_line(decision::departure_not_recorded)
+                        .with("upstream", id.value),
+                    uptime());
+            done(recorded);
+        });
+}
+
+void control_service::apply_departures(time_point now)
+{
+    std::vector<upstream> changed;
+    for (const auto& [id, left] : site_.departures)
+    {
+        const auto known = directory_.upstreams.find(id);
+        if (known == directory_.upstreams.end() ||
+            !is_outdated(site_.departures, known->second.value))
+            continue;
+        upstream value = known->second.value;
+        value.started_ms = left.started_ms;
+        value.sequence = std::max(value.sequence, left.sequence);
+        value.state =
+            left.is_gone ? upstream_state::gone : upstream_state::draining;
+        if (merge(directory_, value, now) != merge_outcome::changed)
+            continue;
+        log_.write(
+            log_line(decision::upstream_changed)
+                .with("upstream", id.value)
+                .with("state", to_name(value.state))
+                .with("sequence", value.sequence)
+                .with("from", "site"),
+            now);
+        changed.push_back(std::move(value));
+    }
+    if (!changed.empty())
+        broadcast(changed);
 }
 
 void control_service::broadcast(const std::vector<upstream>& updates)
@@ -177,7 +272,8 @@
         return;
     const time_point now = uptime();
     for (const auto& [value, age] : directory->upstreams)
-        if (merge(directory_, value, now, age) == merge_outcome::changed)
+        if (!is_outdated(site_.departures, value) &&
+            merge(directory_, value, now, age) == merge_outcome::changed)
             log_.write(
                 log_line(decision::upstream_changed)
                     .with("upstream", value.id.value)
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -161,8 +161,11 @@
 {
     const std::uint64_t version_before = site_.version;
     const auto moves_before = site_.moves;
+    const departure_map departures_before = std::move(site_.departures);
     site_ = store_.read();
     const time_point now = uptime();
+    if (site_.departures != departures_before)
+        apply_departures(now);
     if (site_.version != version_before)
     {
         limit_totals_.clear();
@@ -412,6 +415,7 @@
 {
     const time_point now = uptime();
     update_leadership();
+    merge_held_announcements(now);
     announce_confirmation(now);
     if (is_leader_)
         silent_upstreams_ = find_silent(
@@ -496,6 +500,15 @@
     line(
         "site_version", "gauge", "Version of the site applied.", site_.version);
     line("upstreams", "gauge", "Upstreams known.", directory_.upstreams.size());
+    line(
+        "upstreams_ready",
+        "gauge",
+        "Upstreams that accept new requests.",
+        static_cast<std::uint64_t>(std::count_if(
+            directory_.upstreams.begin(),
+            directory_.upstreams.end(),
+            [](const auto& item)
+            { return item.second.value.state == upstream_state::ready; })));
     line("entries", "gauge", "Entries known.", entries_.size());
     line(
         "log_lines_dropped_total",
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -140,6 +140,8 @@
 {
 public:
     using change_callback = std::function<void(std::optional<command_outcome>)>;
+    /// Told whether an upstream may rely on what it announced.
+    using acknowledgement = std::function<void(bool accepted)>;
 
     control_service(
         boost::asio::io_context& loop,
@@ -174,9 +176,15 @@
     std::optional<site_state> read() const;
 
     // Upstreams.
-    void announce(const upstream& announcement);
+    /// A departure, draining or gone, is accepted once the site's state holds
+    /// it; other nodes and entries are told at once.
+    void announce(const upstream& announcement, acknowledgement done);
+    /// `started_ms` is 0 if the notice does not name the incarnation.
     void withdraw(
-        const upstream_id& id, std::int64_t started_ms, std::uint64_t sequence);
+        const upstream_id& id,
+        std::int64_t started_ms,
+        std::uint64_t sequence,
+        acknowledgement done);
 
     // Callers.
     /// Caller addresses of the ready entries, those in `domain` first.
@@ -197,6 +205,14 @@
     void on_proposal_answer(const proposal_answer& answer);
     void on_entry_report(const incoming_message& message);
     void on_directory(const incoming_message& message);
+    void merge_announcement(const upstream& announcement, time_point now);
+    /// Merges the announcements that arrived before this node's state was
+    /// confirmed.
+    void merge_held_announcements(time_point now);
+    void record_departure(
+        const upstream_id& id, const departure& value, acknowledgement done);
+    /// Applies the recorded departures to the directory.
+    void apply_departures(time_point now);
     void read_crashes(const wire::site::entry_report& report, time_point now);
     void
     write_crashes(wire::site::control_report& report, time_point now) const;
@@ -244,6 +260,10 @@
 
     shared_clock clock_;
     upstream_directory directory_;
+    /// Upstreams that announced themselves as ready before this node's state
+    /// was confirmed: an older state may lack the departure of one of them.
+    std::map<upstream_id, upstream> held_announcements_;
+    bool accepts_announcements_ = false;
     /// Unchanged upstreams announced to this node since the last refresh was
     /// sent to the other control nodes.
     std::map<upstream_id, upstream> refreshed_upstreams_;
--- a/src/site/site_state.cpp
+++ b/src/site/site_state.cpp
@@ -120,6 +120,30 @@
     return {std::nullopt, state.version};
 }
 
+departure read(const pb::record_departure& from, std::int64_t recorded_ms)
+{
+    return {from.started_ms(), from.sequence(), from.is_gone(), recorded_ms};
+}
+
+void write(
+    pb::record_departure& to, const upstream_id& id, const departure& from)
+{
+    to.set_upstream(id.value);
+    to.set_started_ms(from.started_ms);
+    to.set_sequence(from.sequence);
+    to.set_is_gone(from.is_gone);
+}
+
+command_outcome apply_command(
+    site_state& state,
+    configuration_parser,
+    const pb::record_departure& from,
+    std::int64_t now_ms)
+{
+    record_departure(state.departures, {from.upstream()}, read(from, now_ms));
+    return {std::nullopt, state.version};
+}
+
 command_outcome apply_command(
     site_state& state,
     configuration_parser parse,
@@ -136,6 +160,8 @@
         return apply_command(state, parse, command.advance(), now_ms);
     case pb::site_command::kClose:
         return apply_command(state, parse, command.close(), now_ms);
+    case pb::site_command::kDepart:
+        return apply_command(state, parse, command.depart(), now_ms);
     case pb::site_command::BODY_NOT_SET:
         break;
     }
@@ -212,6 +238,12 @@
                 static_cast<double>(count));
         }
     }
+    for (const auto& [id, value] : state.departures)
+    {
+        pb::recorded_departure& recorded = *to.add_departures();
+        write(*recorded.mutable_departure(), id, value);
+        recorded.set_recorded_ms(value.recorded_ms);
+    }
     return to.SerializeAsString();
 }
 
@@ -246,6 +278,9 @@
                 static_cast<std::uint64_t>(count.amount());
         restored.windows.push_back(std::move(window));
     }
+    for (const pb::recorded_departure& each : from.departures())
+        restored.departures[{each.departure().upstream()}] =
+            read(each.departure(), each.recorded_ms());
     state = std::move(restored);
     return {};
 }
@@ -297,6 +332,14 @@
     return command.SerializeAsString();
 }
 
+std::string encode_record_departure(
+    const upstream_id& id, const departure& value, wall_time now)
+{
+    pb::site_command command = make_command(now);
+    write(*command.mutable_depart(), id, value);
+    return command.SerializeAsString();
+}
+
 command_outcome decode_result(std::string_view result)
 {
     pb::site_result from;
--- a/src/site/site_state.hpp
+++ b/src/site/site_state.hpp
@@ -1,8 +1,10 @@
 // The replicated state of a site: the configuration in force, version moves,
-// and closed usage windows. Deterministic: equal logs give equal states on
-// every replica. Commands and results are the messages of src/wire/site.proto.
+// closed usage windows, and departures of upstreams. Deterministic: equal logs
+// give equal states on every replica. Commands and results are the messages of
+// src/wire/site.proto.
 #pragma once
 
+#include "site/departures.hpp"
 #include "site/site.hpp"
 
 #include <bergamotusher/enum_names.hpp>
@@ -71,6 +73,7 @@
     std::shared_ptr<const indexed_configuration> current;
     std::map<service_name, version_move> moves;
     std::deque<usage_window> windows;
+    departure_map departures;
 };
 
 /// Result of a command.
@@ -107,6 +110,9 @@
 /// reason.
 std::string encode_advance_move(const version_move& to, wall_time now);
 std::string encode_close_window(const usage_window& window, wall_time now);
+/// `value.recorded_ms` is ignored: the departure is recorded at `now`.
+std::string encode_record_departure(
+    const upstream_id& id, const departure& value, wall_time now);
 
 /// Decodes the result of `apply`; the outcome is `malformed_message` if it
 /// cannot be parsed.
