Announcements with odd values are refused

Deeply nested values do not end a process here: the parser and its values do not recurse, shown with a depth of a million.

Numbers of an announcement are whole and at most 2^53 where they are compared, counts fit their type, durations are limited to a year so that sums with times do not overflow, and the address has to be one. Such an announcement names no upstream and leaves what is known as it is. Departure notices with such numbers count as without them.

--- a/tests/platform/site_json_test.cpp
+++ b/tests/platform/site_json_test.cpp
@@ -101,6 +101,93 @@
     }
 }
 
+// Guards against one odd announcement of another writer that ends the process
+// or replaces what an upstream said of itself.
+TEST_CASE("announcements with odd values are refused")
+{
+    const std::string text =
+        R"({"service":"s1","address":"10.0.0.9:80","zone":"z1",)"
+        R"("version":"v1","slots":64,"state":"ready","leaves_ms":2400,)"
+        R"("coldRemainingMs":0,"sequence":4,"born":1700000000000})";
+    REQUIRE(parse_announcement("i-1", text));
+    const auto with = [&](const std::string& from, const std::string& to)
+    {
+        std::string changed = text;
+        changed.replace(changed.find(from), from.size(), to);
+        return parse_announcement("i-1", changed);
+    };
+
+    SECTION("a port out of range, or no address")
+    {
+        for (const char* address :
+             {"10.0.0.9:65536",
+              "10.0.0.9:-1",
+              "10.0.0.9:99999999999999999999",
+              "10.0.0.9",
+              "10.0.0.9:",
+              ":80",
+              "",
+              "10.0.0.9:80:80"})
+        {
+            CAPTURE(address);
+            CHECK_FALSE(with("10.0.0.9:80", address));
+        }
+    }
+    SECTION("numbers that are too large")
+    {
+        for (const char* number :
+             {"1e400",
+              "1e300",
+              "18446744073709551615",
+              "9223372036854775807",
+              "9007199254740994",
+              "-1",
+              "123456789012345678901234567890"})
+        {
+            CAPTURE(number);
+            CHECK_FALSE(
+                with("\"slots\":64", "\"slots\":" + std::string(number)));
+            CHECK_FALSE(
+                with("\"sequence\":4", "\"sequence\":" + std::string(number)));
+            CHECK_FALSE(with("1700000000000", number));
+            CHECK_FALSE(with(
+                "\"leaves_ms\":2400", "\"leaves_ms\":" + std::string(number)));
+        }
+        CHECK_FALSE(with("\"slots\":64", "\"slots\":4294967296"));
+        const auto late = with("\"leaves_ms\":2400", "\"leaves_ms\":1e15");
+        REQUIRE(late);
+        CHECK(time_point(1h) + late->leaves_in > time_point(1h));
+        const departure_notice notice = parse_departure(
+            R"({"born":18446744073709551615,"sequence":9223372036854775807})");
+        CHECK(notice.started_ms == 0);
+        CHECK(notice.sequence == 0);
+    }
+    SECTION("values nested very deeply")
+    {
+        constexpr std::size_t depth = 1'000'000;
+        for (const auto& [open, close] :
+             std::vector<std::pair<std::string, std::string>>{
+                 {"[", "]"}, {"{\"a\":", "}"}})
+        {
+            std::string nested;
+            for (std::size_t i = 0; i < depth; ++i)
+                nested += open;
+            CHECK_FALSE(with("\"v1\"", nested));
+            CHECK_FALSE(parse_announcement("i-1", nested));
+            parse_departure(nested);
+            CHECK(std::holds_alternative<failure>(parse_configuration(nested)));
+            nested += "1";
+            for (std::size_t i = 0; i < depth; ++i)
+                nested += close;
+            CHECK_FALSE(with("\"v1\"", nested));
+            // A field that is not known is ignored, whatever it holds.
+            CHECK(with("\"slots\"", "\"odd\":" + nested + ",\"slots\""));
+            parse_departure(nested);
+            CHECK(std::holds_alternative<failure>(parse_configuration(nested)));
+        }
+    }
+}
+
 TEST_CASE("parsers do not throw or crash on arbitrary bytes")
 {
     CHECK(rc::check(
