A refusal that names no request does not answer the next one

A copy that names its request was skipped already.

On a connection that was used before, an answer must name the request. One that does not ends the attempt as one that may have run, and closes the connection. On a new connection no earlier answer can be repeated, so that nothing changes there.

--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -91,6 +91,7 @@
     void reuse(outgoing_request request, response_callbacks callbacks)
     {
         ++pool_->counters.reuses;
+        reused_ = true;
         start_request(std::move(request), std::move(callbacks));
         write();
     }
@@ -301,6 +302,13 @@
         return !facts_.attempt.empty() && facts_.attempt != request_.attempt_id;
     }
 
+    /// The answer may be a copy of one to an earlier request on the connection.
+    bool is_unattributed() const
+    {
+        return reused_ && !is_interim() && facts_.attempt.empty() &&
+               !request_.attempt_id.empty();
+    }
+
     /// Passes parsed parts of the answer to the callbacks; false if the owner
     /// cancelled the request.
     bool deliver_answer()
@@ -314,6 +322,13 @@
             close_after_answer_ = close_after_answer_ || facts_.closes;
             if (facts_.idle_time)
                 idle_timeout_ = *facts_.idle_time;
+            if (is_unattributed())
+            {
+                fail(
+                    failure_kind::malformed,
+                    "an answer on a reused connection names no request");
+                return false;
+            }
             // A callback may cancel the request, which drops the callbacks.
             const auto callbacks = callbacks_;
             if (!is_stray() && !is_interim() && callbacks && callbacks->on_head)
@@ -410,6 +425,7 @@
     duration idle_timeout_{};
     time_point idle_since_;
     bool connected_ = false;
+    bool reused_ = false;
     bool busy_ = false;
     bool closed_ = false;
     bool request_written_ = false;
--- /dev/null
+++ b/tests/gateway/faulty_upstream_test.cpp
@@ -0,0 +1,87 @@
+// Answers of faulty upstreams: repeated refusals on a connection that is in use
+// again, and errors where a stream should continue.
+#include "gateway/relay_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotusher;
+using namespace bergamotusher::gateway;
+using namespace relay_fixture;
+
+namespace
+{
+
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::string refusal(const std::string& attempt_field)
+{
+    return "HTTP/1.1 503 X\r\nNot-Run: 1\r\n" + attempt_field +
+           "Content-Length: 0\r\n\r\n";
+}
+
+} // namespace
+
+// Guards against a refusal that an upstream writes once more and that is taken
+// for the answer to the next request, which then runs twice or is said not to
+// have run.
+TEST_CASE("a repeated refusal does not answer the next request")
+{
+    entry_fixture entry;
+    const auto upstream = entry.add_upstream("u1", "desk");
+
+    SECTION("when it names the earlier request")
+    {
+        upstream->scripts = {
+            refusal("Attempt: 1\r\n"),
+            refusal("Attempt: 1\r\n") + answer(200, "mine", 2)};
+        CHECK(contains(
+            entry.send_request(request("POST", "/order/1")), "HTTP/1.1 503"));
+        // The upstream counts as full until its refusal has aged.
+        entry.run_until([] { return false; }, 600ms);
+        CHECK(contains(
+            entry.send_request(request("POST", "/order/2", 2)), "mine"));
+        CHECK(upstream->connections == 1);
+    }
+    SECTION("when it names no request")
+    {
+        upstream->scripts = {
+            answer(200, "first"), refusal("") + answer(200, "mine", 2)};
+        CHECK(
+            contains(entry.send_request(request("POST", "/order/1")), "first"));
+        std::unique_ptr<scripted_upstream> other;
+        upstream->on_request = [&]
+        {
+            other = entry.add_upstream("u2", "desk");
+            other->scripts = {answer(200, "twice", 2)};
+        };
+        const std::string received =
+            entry.send_request(request("POST", "/order/2", 2));
+        REQUIRE(upstream->connections == 1);
+        REQUIRE(upstream->requests.size() == 2);
+        REQUIRE(other);
+        // The order may have run: it runs nowhere else and is not refused.
+        CHECK(other->requests.empty());
+        CHECK(contains(received, "HTTP/1.1 502"));
+    }
+    SECTION("when it comes right after the first copy")
+    {
+        upstream->scripts = {
+            refusal("Attempt: 1\r\n") + refusal("Attempt: 1\r\n"),
+            answer(200, "mine", 2)};
+        CHECK(contains(
+            entry.send_request(request("POST", "/order/1")), "HTTP/1.1 503"));
+        entry.run_until([] { return false; }, 600ms);
+        CHECK(contains(
+            entry.send_request(request("POST", "/order/2", 2)), "mine"));
+        CHECK(upstream->connections == 2);
+    }
+    SECTION("but one on a new connection is the answer")
+    {
+        upstream->scripts = {refusal("")};
+        CHECK(contains(
+            entry.send_request(request("POST", "/order/1")), "HTTP/1.1 503"));
+    }
+}
