An answer of another kind does not continue a stream

Error statuses never reached the caller, with a length, in chunks or without either. Four kinds of answer did, or ended the stream as if it were complete (fail on the code before): a 204 or 200 that ended with its connection before any event closed the stream with its last chunk; a 200 with another content type, and a stream that began again at its first event, were passed on.

An answer continues a stream if it has the content type of the head that was forwarded and its ids go on above the last one; without a length or chunks it has ended only after an event of its own. All else counts as a failed attempt: the stream is resumed elsewhere or cut, without a last chunk.

--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -62,7 +62,11 @@
          end = end_of_event(rest, 0))
     {
         if (const auto id = id_of(rest.substr(0, end)))
+        {
+            splitter.went_back = splitter.went_back ||
+                                 (splitter.last_id && *id <= *splitter.last_id);
             splitter.last_id = id;
+        }
         ++splitter.events;
         rest.remove_prefix(end);
     }
--- a/src/gateway/event_splitter.hpp
+++ b/src/gateway/event_splitter.hpp
@@ -19,6 +19,8 @@
     /// Id of the last complete event that had an id.
     std::optional<std::uint64_t> last_id;
     std::uint64_t events = 0;
+    /// An event had an id that is not above the one before it.
+    bool went_back = false;
 };
 
 /// Appends bytes of the stream; returns the bytes of the events that are
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -361,6 +361,8 @@
     req->fields.clear();
     drop_buffer(req);
     req->is_streaming = false;
+    req->earlier_events = req->events.events;
+    req->events.went_back = false;
     ++upstream.own_running;
     upstream.own_uncached_tokens += choice.uncached_tokens;
     req->queued_tokens = upstream.own_uncached_tokens;
--- a/src/gateway/relay_answers.cpp
+++ b/src/gateway/relay_answers.cpp
@@ -38,6 +38,12 @@
         std::log(std::max(1.0, to_seconds(latency) * per_mille));
 }
 
+std::string content_type_of(const header_fields& fields)
+{
+    const std::string* value = find_field(fields, "Content-Type");
+    return value == nullptr ? std::string() : *value;
+}
+
 /// Whether the answer states where it ends. One that ends with its connection
 /// may have been ended by a crash of the upstream.
 bool is_framed(const header_fields& fields)
@@ -153,6 +159,10 @@
     req->answer = facts;
     req->is_streaming = req->is_stream() && is_success(answer.status) &&
                         facts.is_signed && !facts.is_encoded;
+    // An answer of another kind does not continue the stream.
+    if (req->head_forwarded &&
+        content_type_of(answer.fields) != req->content_type)
+        req->is_streaming = false;
 }
 
 void relay::on_body(const request_ptr& req, const std::string& piece)
@@ -166,6 +176,8 @@
     const std::uint64_t before = req->events.events;
     const std::string events = split_events(req->events, piece);
     counters_.events += req->events.events - before;
+    if (req->head_forwarded && req->events.went_back)
+        return give_up_answer(req, "the stream does not continue");
     if (!events.empty())
         forward_events(req, events);
     check_buffer(req);
@@ -218,6 +230,7 @@
     if (!req->head_forwarded)
     {
         req->head_forwarded = true;
+        req->content_type = content_type_of(req->fields);
         req->first_forwarded_at = uptime();
         append_answer_head(
             bytes,
@@ -240,7 +253,8 @@
         if (!req->events.partial.empty())
             return on_failed(
                 req, failure_kind::connection_lost, "ended inside an event");
-        if (!req->head_forwarded && !is_framed(req->fields))
+        if (req->events.events == req->earlier_events &&
+            !is_framed(req->fields))
             return on_failed(
                 req, failure_kind::connection_lost, "ended before an event");
         if (!req->head_forwarded)
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -55,6 +55,8 @@
     double running_ms = 0;
     bool first_byte_received = false;
     time_point sent_at;
+    /// Events received by earlier attempts.
+    std::uint64_t earlier_events = 0;
 
     // The answer.
     int status = 0;
@@ -67,6 +69,8 @@
     std::size_t buffered_bytes = 0;
     bool is_streaming = false;
     bool head_forwarded = false;
+    /// Of the head that was forwarded.
+    std::string content_type;
     time_point first_forwarded_at;
 
     duration time_left(time_point now) const
--- a/tests/gateway/faulty_upstream_test.cpp
+++ b/tests/gateway/faulty_upstream_test.cpp
@@ -85,3 +85,58 @@
             entry.send_request(request("POST", "/order/1")), "HTTP/1.1 503"));
     }
 }
+
+// Guards against an error of the next upstream in the middle of a stream, and
+// against a stream that is ended by it as if it were complete.
+TEST_CASE("an error does not continue a stream")
+{
+    entry_fixture entry;
+    const auto first = entry.add_upstream("u1", "llm");
+    const auto second = entry.add_upstream("u2", "llm");
+    first->scripts = {stream_head() + event(1) + event(2) + "<cut>"};
+    const std::string text = "id: 9\ndata: broken\n\n";
+    const std::string length =
+        "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+    const std::string signed_error = "X\r\nSigned: yes\r\nAttempt: 1\r\n";
+
+    SECTION("whatever the next upstream answers")
+    {
+        const std::string answered = GENERATE_COPY(
+            "HTTP/1.1 500 " + signed_error + length,
+            "HTTP/1.1 404 " + signed_error + length,
+            "HTTP/1.1 429 " + signed_error + length,
+            "HTTP/1.1 500 " + signed_error + "\r\n" + text + "<cut>",
+            "HTTP/1.1 500 " + signed_error + "Transfer-Encoding: chunked\r\n" +
+                "\r\n14\r\n" + text + "\r\n0\r\n\r\n",
+            "HTTP/1.1 302 " + signed_error + "Location: /x\r\n" + length,
+            "HTTP/1.1 204 " + signed_error + "\r\n<cut>",
+            "HTTP/1.1 503 X\r\nNot-Run: 1\r\nAttempt: 1\r\n" + length,
+            "HTTP/1.1 200 X\r\nAttempt: 1\r\n" + length,
+            "HTTP/1.1 200 " + signed_error +
+                "Content-Type: application/json\r\n" + length,
+            "HTTP/1.1 200 " + signed_error + "\r\n<cut>",
+            "HTTP/1.1 200 " + signed_error + "\r\n" + text.substr(0, 8) +
+                "<cut>",
+            text + "<cut>",
+            std::string("<cut>"),
+            stream_head() + event(1) + "0\r\n\r\n");
+        CAPTURE(answered);
+        second->scripts = {answered};
+        const std::string received =
+            entry.send_request(request("POST", "/chat/1"));
+        REQUIRE(second->requests.size() == 1);
+        CHECK(contains(second->requests[0], "Resume: 2\r\n"));
+        const std::size_t last = received.find("id: 2\ndata: x\n\n");
+        REQUIRE(last != std::string::npos);
+        // Nothing but the end of that chunk and of the connection follows.
+        CHECK(received.substr(last) == "id: 2\ndata: x\n\n\r\n<closed>");
+    }
+    SECTION("but the rest of the stream does, without a length too")
+    {
+        second->scripts = {
+            "HTTP/1.1 200 " + signed_error + "\r\nid: 3\ndata: x\n\n<cut>"};
+        const std::string received =
+            entry.send_request(request("POST", "/chat/1"));
+        CHECK(contains(received, "id: 3\ndata: x\n\n\r\n0\r\n\r\n"));
+    }
+}
