Ready upstreams ask another node while this one is not confirmed

A control node that has restarted keeps the announcements of ready upstreams until its state is confirmed, and acknowledged them. Cut off from the quorum, it would have kept them for as long: an upstream that stays with the node that acknowledged would be silent for all others, and lose its work. Such an announcement is kept but not acknowledged now, so that the upstream asks another node too.

--- a/src/site/control_directory.cpp
+++ b/src/site/control_directory.cpp
@@ -35,11 +35,13 @@
         return done(true);
     if (announcement.state == upstream_state::ready)
     {
+        // Without an acknowledgement the upstream also asks a node whose state
+        // is confirmed.
         if (accepts_announcements_)
             merge_announcement(announcement, now);
         else
             held_announcements_[announcement.id] = announcement;
-        return done(true);
+        return done(accepts_announcements_);
     }
     merge_announcement(announcement, now);
     record_departure(
