--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -103,7 +103,7 @@
     }
     fail_reads(replica, out);
     for (const auto& [id, peer] : replica.followers)
-        if (now - peer.heard_at > 2 * replica.options.timing.heartbeat)
+        if (is_silent(replica, peer, now))
             replica.silent_since.emplace(id, peer.heard_at);
     replica.followers.clear();
     replica.pending_joiners.clear();
--- a/src/consensus/internal.hpp
+++ b/src/consensus/internal.hpp
@@ -79,6 +79,8 @@
 
 // Replication (follower.cpp, leader.cpp).
 
+/// True if `peer` has not replied for two heartbeat intervals.
+bool is_silent(const replica& replica, const progress& peer, time_point now);
 /// True if `id` is admitted, so that its acknowledgements count for quorums.
 bool counts_for_quorum(const replica& replica, const node_id& id);
 /// Appends `entry` to the leader's log with the next index and own term.
--- a/src/consensus/leader.cpp
+++ b/src/consensus/leader.cpp
@@ -8,12 +8,6 @@
 namespace
 {
 
-/// True if `peer` has not replied for two heartbeat intervals.
-bool is_silent(const replica& replica, const progress& peer, time_point now)
-{
-    return now - peer.heard_at > 2 * replica.options.timing.heartbeat;
-}
-
 /// The storage id with which to admit `peer`; 0 if it must not be admitted now.
 /// Only a learner is admitted, and only while no membership change is pending.
 std::uint64_t storage_id_to_admit(
@@ -138,6 +132,11 @@
 
 } // namespace
 
+bool is_silent(const replica& replica, const progress& peer, time_point now)
+{
+    return now - peer.heard_at > 2 * replica.options.timing.heartbeat;
+}
+
 bool counts_for_quorum(const replica& replica, const node_id& id)
 {
     if (id == replica.options.self)
@@ -366,17 +365,14 @@
     };
     const node_id& self = options.self;
     health.push_back(
-        {self,
-         domain_of(self),
-         is_voter(members, self),
-         !replica.leaving,
-         false,
-         true,
-         replica.leaving,
-         true,
-         false,
-         {},
-         now - replica.elected_at});
+        {.id = self,
+         .domain = domain_of(self),
+         .voter = is_voter(members, self),
+         .live = !replica.leaving,
+         .caught_up = true,
+         .leaving = replica.leaving,
+         .heard = true,
+         .known_for = now - replica.elected_at});
     for (const auto& [id, peer] : replica.followers)
     {
         const duration silent_for = now - peer.heard_at;
@@ -385,18 +381,19 @@
         const bool heard = silent_for < options.timing.voter_lost_after ||
                            known_for < options.timing.election_min;
         health.push_back(
-            {id,
-             domain_of(id),
-             is_voter(members, id),
-             heard && peer.unadmitted_storage_id == 0 && !peer.leaving,
-             peer.unadmitted_storage_id != 0,
-             peer.responsive &&
+            {.id = id,
+             .domain = domain_of(id),
+             .voter = is_voter(members, id),
+             .live = heard && peer.unadmitted_storage_id == 0 && !peer.leaving,
+             .unadmitted = peer.unadmitted_storage_id != 0,
+             .caught_up =
+                 peer.responsive &&
                  peer.match + options.limits.caught_up_lag >= replica.commit,
-             peer.leaving,
-             heard,
-             silent_for >= options.timing.member_excluded_after,
-             silent_for,
-             known_for});
+             .leaving = peer.leaving,
+             .heard = heard,
+             .absent = silent_for >= options.timing.member_excluded_after,
+             .silent_for = silent_for,
+             .known_for = known_for});
     }
     return health;
 }
