A membership stored without seats keeps the seat of a member with a new disk

Data written before seats existed has none, which stands for the number of voters. When a voter with a new disk was demoted, that number went down with it, and on its return it would have taken the seat of a voter that is cut off. Found by reading the diff; `consensus: a member with a new disk keeps its seat` fails on the commit before for such a membership. The plan now starts from the seats that it aims for.

--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -171,7 +171,7 @@
         { return member.leaving && member.id != health.front().id; });
     if (goal.every_member_votes && leaving != nullptr &&
         state.voters > goal.wanted_voters)
-        return with_learner(with_seats(members, state.seats), leaving->id);
+        return with_learner(members, leaving->id);
     if (state.voters <= state.seats)
         return std::nullopt;
     if (state.lost != nullptr)
@@ -208,12 +208,10 @@
     if (!may_promote(state))
         return std::nullopt;
     membership promoted = with_voter(members, state.learner->id);
-    const bool has_seat = state.voters < state.seats || state.lost != nullptr;
-    if (!goal.every_member_votes)
-        return has_seat ? std::optional(promoted) : std::nullopt;
-    if (has_seat)
-        return with_seats(std::move(promoted), state.seats);
-    if (all_voters_heard_since(health, *state.learner))
+    if (state.voters < state.seats || state.lost != nullptr)
+        return promoted;
+    if (goal.every_member_votes &&
+        all_voters_heard_since(health, *state.learner))
         return with_seats(std::move(promoted), state.seats + 1);
     return std::nullopt;
 }
@@ -336,11 +334,14 @@
     const repair_goal& goal)
 {
     const repair_state state = repair_state_of(members, health, goal);
-    if (auto planned = plan_demotion(members, health, goal, state))
+    // Stored memberships may have no seats yet.
+    const membership present =
+        goal.every_member_votes ? with_seats(members, state.seats) : members;
+    if (auto planned = plan_demotion(present, health, goal, state))
         return planned;
-    if (auto planned = plan_promotion(members, health, goal, state))
+    if (auto planned = plan_promotion(present, health, goal, state))
         return planned;
-    return goal.every_member_votes ? plan_seats(members, health, goal, state)
+    return goal.every_member_votes ? plan_seats(present, health, goal, state)
                                    : std::nullopt;
 }
 
