Logs and metrics that tell the causes of an older configuration apart

No record told on which version a read was answered, how old its confirmation was, what a replica held when it was opened again, or that a process's messages were dropped as those of an older incarnation.

- `dependency_regained` of a disk has the last index beside the applied one.
- `bergamotusher_stale_messages_total` on entries and control nodes.

--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -376,6 +376,11 @@
         "counter",
         "Log lines dropped.",
         log_.dropped());
+    write_metric(
+        "stale_messages_total",
+        "counter",
+        "Messages dropped as of an older incarnation of their sender.",
+        status_of(*peers_).stale_incarnation);
     write_metric(
         "upstreams", "gauge", "Upstreams known.", view_.upstreams.size());
     write_metric(
--- a/src/site/control_process.cpp
+++ b/src/site/control_process.cpp
@@ -272,7 +272,8 @@
     log_.write(
         log_line(decision::dependency_regained)
             .with("dependency", "disk")
-            .with("applied", status_of(*control_).applied),
+            .with("applied", status_of(*control_).applied)
+            .with("last_index", status_of(*control_).last_index),
         now);
 }
 
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -75,6 +75,7 @@
 void control_service::connect(control_duty& control, peers_duty& peers)
 {
     control_ = &control;
+    peers_ = &peers;
     peer_sender_ = &make_sender(peers, peer_mailbox_capacity);
     peer_inbox_ = std::make_unique<mailbox<incoming_message>>(
         loop_,
@@ -261,10 +262,19 @@
 
 std::optional<site_state> control_service::read() const
 {
-    const auto age = confirmed_age(uptime());
-    if (!age || *age > options_.max_read_age)
-        return std::nullopt;
-    return store_.read();
+    const time_point now = uptime();
+    const auto age = confirmed_age(now);
+    std::optional<site_state> state;
+    if (age && *age <= options_.max_read_age)
+        state = store_.read();
+    log_.write(
+        log_line(decision::site_read)
+            .with("version", state ? state->version : std::uint64_t{0})
+            .with("applied", state ? state->applied : std::uint64_t{0})
+            .with("confirmed_age_ms", age.value_or(duration(-1)))
+            .with("outcome", state ? "answered" : "unconfirmed"),
+        now);
+    return state;
 }
 
 void control_service::on_entry_report(const incoming_message& message)
@@ -510,6 +520,11 @@
             [](const auto& item)
             { return item.second.value.state == upstream_state::ready; })));
     line("entries", "gauge", "Entries known.", entries_.size());
+    line(
+        "stale_messages_total",
+        "counter",
+        "Messages dropped as of an older incarnation of their sender.",
+        status_of(*peers_).stale_incarnation);
     line(
         "log_lines_dropped_total",
         "counter",
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -251,6 +251,7 @@
     site_store store_;
     site_state site_;
     control_duty* control_ = nullptr;
+    peers_duty* peers_ = nullptr;
     peers_sender* peer_sender_ = nullptr;
     proposer* proposer_ = nullptr;
     std::unique_ptr<mailbox<incoming_message>> peer_inbox_;
