Harness: children inherit no open files of the test

Seen with the soak of the configuration: a cluster took 31 s to form, in 4 of 76 starts. A link had closed a connection, but a daemon that was started at that moment had inherited its socket, so that the other side saw no end of it. `ss` showed the connection open in four daemons and not in the test.

--- a/tests/harness/child.cpp
+++ b/tests/harness/child.cpp
@@ -46,6 +46,11 @@
     posix_spawn_file_actions_addopen(
         &file_actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&file_actions, 1, 2);
+    // A socket of the test that a child keeps open would hide its end from the
+    // other side.
+    constexpr int first_inherited_file = 3;
+    posix_spawn_file_actions_addclosefrom_np(
+        &file_actions, first_inherited_file);
     const int error = posix_spawn(
         &id_,
         program.c_str(),
