CONFIG: a route that names an unknown service beside weights is invalid

What operators saw: a configuration whose split route also names a service that does not exist was acknowledged and in force.

Cause: of a route with weights the parser did not look at `service`, so that the check of names could not see it. The check looks at less than the operator sent.

The name is kept as a service of weight 0, which gets no requests and is checked like the others.

--- a/tests/platform/site_json_test.cpp
+++ b/tests/platform/site_json_test.cpp
@@ -75,6 +75,30 @@
     }
 }
 
+TEST_CASE("a route that names an unknown service beside weights is invalid")
+{
+    const auto parsed_with = [](const std::string& service)
+    {
+        std::string text = valid_configuration;
+        text.insert(text.find("\"weightedServices\""), service);
+        return parse_configuration(text);
+    };
+    SECTION("a name that no service has")
+    {
+        const auto parsed = parsed_with("\"service\":\"s9\",");
+        REQUIRE(std::holds_alternative<site::configuration>(parsed));
+        CHECK(site::check(std::get<site::configuration>(parsed)));
+    }
+    SECTION("a service that exists gets no requests beside the weights")
+    {
+        const auto parsed = parsed_with("\"service\":\"s2\",");
+        REQUIRE(std::holds_alternative<site::configuration>(parsed));
+        const auto& value = std::get<site::configuration>(parsed);
+        CHECK_FALSE(site::check(value));
+        CHECK(value.routes[1].services.back().weight == 0);
+    }
+}
+
 TEST_CASE("parses an announcement and refuses malformed ones")
 {
     const std::string text =
