CONFIG: a state and its confirmation are read together

Class: a permission that outlives what it was given for.

Now the store holds the state and the moment up to which it was the newest; the control thread sets it, a restored state has none, and readers, reports to entries and announcements of upstreams take both at once.

--- a/include/bergamotusher/control.hpp
+++ b/include/bergamotusher/control.hpp
@@ -62,6 +62,8 @@
 {
     /// New work may be accepted until then.
     time_point valid_until;
+    /// Everything that was committed by then is applied on this node.
+    time_point confirmed_at;
 };
 
 /// Messages from the control duty to the serving and admin duties.
--- a/src/daemon/control_confirmation.cpp
+++ b/src/daemon/control_confirmation.cpp
@@ -54,7 +54,7 @@
         duty.status.configuration_until = until;
     }
     for (const auto& proposer : duty.proposers)
-        proposer->notify(configuration_lease{until});
+        proposer->notify(configuration_lease{until, asked_at});
 }
 
 } // namespace
--- a/src/site/control_directory.cpp
+++ b/src/site/control_directory.cpp
@@ -37,11 +37,11 @@
     {
         // Without an acknowledgement the upstream also asks a node whose state
         // is confirmed.
-        if (accepts_announcements_)
+        if (ready())
             merge_announcement(announcement, now);
         else
             held_announcements_[announcement.id] = announcement;
-        return done(accepts_announcements_);
+        return done(ready());
     }
     merge_announcement(announcement, now);
     record_departure(
@@ -52,11 +52,8 @@
 
 void control_service::merge_held_announcements(time_point now)
 {
-    if (accepts_announcements_ || !ready())
+    if (!ready())
         return;
-    // The confirmed state may not have been read yet.
-    on_state_changed();
-    accepts_announcements_ = true;
     for (const auto& [id, announcement] :
          std::exchange(held_announcements_, {}))
         if (!is_outdated(site_.departures, announcement))
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -32,6 +32,12 @@
 /// Announcements that an upstream may miss before it is reported as silent.
 constexpr int max_missed_announcements = 4;
 
+std::optional<duration>
+age_of(const std::optional<time_point>& at, time_point now)
+{
+    return at ? std::optional(now - *at) : std::nullopt;
+}
+
 } // namespace
 
 control_service::control_service(
@@ -75,8 +81,8 @@
 void control_service::connect(control_duty& control, peers_duty& peers)
 {
     control_ = &control;
-    peers_ = &peers;
     peer_sender_ = &make_sender(peers, peer_mailbox_capacity);
+    peers_ = &peers;
     peer_inbox_ = std::make_unique<mailbox<incoming_message>>(
         loop_,
         peer_mailbox_capacity,
@@ -98,6 +104,10 @@
         {
             if (auto* answer = std::get_if<proposal_answer>(&news))
                 proposal_answers_->push(std::move(*answer));
+            // Both the state and its confirmation come from the control thread,
+            // so that the confirmation is of the state applied by now.
+            else if (auto* lease = std::get_if<configuration_lease>(&news))
+                store_.confirm(lease->confirmed_at);
         });
     for (const auto kind : {wire::entry_report, wire::site_directory})
         on_message(
@@ -148,22 +158,14 @@
     return nodes;
 }
 
-std::optional<duration> control_service::confirmed_age(time_point now) const
-{
-    const control_status status = status_of(*control_);
-    if (status.configuration_until == time_point{})
-        return std::nullopt;
-    // The lease counts from the time at which the confirmation was requested.
-    return now -
-           (status.configuration_until - control_options{}.configuration_lease);
-}
-
 void control_service::on_state_changed()
 {
     const std::uint64_t version_before = site_.version;
     const auto moves_before = site_.moves;
     const departure_map departures_before = std::move(site_.departures);
-    site_ = store_.read();
+    confirmed_site newest = store_.read();
+    site_ = std::move(newest.state);
+    site_confirmed_at_ = newest.confirmed_at;
     const time_point now = uptime();
     if (site_.departures != departures_before)
         apply_departures(now);
@@ -263,18 +265,19 @@
 std::optional<site_state> control_service::read() const
 {
     const time_point now = uptime();
-    const auto age = confirmed_age(now);
-    std::optional<site_state> state;
-    if (age && *age <= options_.max_read_age)
-        state = store_.read();
+    confirmed_site newest = store_.read();
+    const auto age = age_of(newest.confirmed_at, now);
+    const bool is_confirmed = age && *age <= options_.max_read_age;
     log_.write(
         log_line(decision::site_read)
-            .with("version", state ? state->version : std::uint64_t{0})
-            .with("applied", state ? state->applied : std::uint64_t{0})
+            .with("version", newest.state.version)
+            .with("applied", newest.state.applied)
             .with("confirmed_age_ms", age.value_or(duration(-1)))
-            .with("outcome", state ? "answered" : "unconfirmed"),
+            .with("outcome", is_confirmed ? "answered" : "unconfirmed"),
         now);
-    return state;
+    if (!is_confirmed)
+        return std::nullopt;
+    return std::move(newest.state);
 }
 
 void control_service::on_entry_report(const incoming_message& message)
@@ -359,7 +362,7 @@
     pb::control_report report;
     report.set_asked_at_us(asked_at_us);
     report.set_time_of_day_ms(time_of_day().milliseconds);
-    const auto age = confirmed_age(now);
+    const auto age = age_of(site_confirmed_at_, now);
     report.set_confirmed_age_us(age && asked_at_us != 0 ? age->count() : -1);
     report.set_site_version(site_.version);
     if (site_.content && should_send_site(
@@ -412,7 +415,7 @@
 
 void control_service::announce_confirmation(time_point now)
 {
-    const auto age = confirmed_age(now);
+    const auto age = age_of(site_confirmed_at_, now);
     const bool confirmed = age && *age < options_.max_read_age;
     if (confirmed && !was_confirmed_)
         for (const auto& [id, entry] : entries_)
@@ -468,7 +471,7 @@
 
 bool control_service::ready() const
 {
-    return confirmed_age(uptime()).has_value();
+    return site_confirmed_at_.has_value();
 }
 
 std::string control_service::metrics() const
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -190,7 +190,8 @@
     /// Caller addresses of the ready entries, those in `domain` first.
     std::vector<std::string> entries_for(const failure_domain& domain) const;
 
-    /// Whether this node's state was confirmed as the newest at least once.
+    /// Whether this node's state was confirmed as the newest at least once
+    /// since its replica was opened.
     bool ready() const;
     /// Metrics in the Prometheus text format.
     std::string metrics() const;
@@ -239,7 +240,6 @@
     void judge_moves(std::int64_t now_ms);
     void close_windows(std::int64_t now_ms);
     void send_rent_orders(time_point now);
-    std::optional<duration> confirmed_age(time_point now) const;
     bool may_act(time_point now) const;
     std::set<node_id> control_nodes() const;
     void send(const node_id& to, wire::message_kind kind, std::string body);
@@ -250,6 +250,9 @@
     observe::decision_log& log_;
     site_store store_;
     site_state site_;
+    /// The latest moment at which `site_` was the newest state; nothing if its
+    /// replica was opened since.
+    std::optional<time_point> site_confirmed_at_;
     control_duty* control_ = nullptr;
     peers_duty* peers_ = nullptr;
     peers_sender* peer_sender_ = nullptr;
@@ -264,7 +267,6 @@
     /// Upstreams that announced themselves as ready before this node's state
     /// was confirmed: an older state may lack the departure of one of them.
     std::map<upstream_id, upstream> held_announcements_;
-    bool accepts_announcements_ = false;
     /// Unchanged upstreams announced to this node since the last refresh was
     /// sent to the other control nodes.
     std::map<upstream_id, upstream> refreshed_upstreams_;
--- a/src/site/site_store.cpp
+++ b/src/site/site_store.cpp
@@ -30,6 +30,7 @@
 {
     {
         const std::lock_guard lock(mutex_);
+        confirmed_at_.reset();
         if (bytes.empty())
             state_ = {};
         else if (const auto error = site::restore(state_, parse_, bytes))
@@ -39,10 +40,19 @@
     return {};
 }
 
-site_state site_store::read() const
+void site_store::confirm(time_point at)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        confirmed_at_ = at;
+    }
+    on_change_();
+}
+
+confirmed_site site_store::read() const
 {
     const std::lock_guard lock(mutex_);
-    return state_;
+    return {state_, confirmed_at_};
 }
 
 } // namespace bergamotusher::site
