A connection between nodes that is silent from its start is replaced

Cause: pings of a connection begin after its handshake, and a handshake without an answer was given 30 s, ZeroMQ's default. A connection that goes silent between the opening and the handshake so separates two nodes for 30 s, although new connections work. Class: a wait without a bound of ours.

Both stacks: the handshake has as long as an unanswered ping, 1.5 s with open membership, 4 s otherwise.

Evidence: "a connection that is silent from its start is replaced" failed before: no message within 5 s.

--- a/src/daemon/peers_duty.cpp
+++ b/src/daemon/peers_duty.cpp
@@ -145,6 +145,8 @@
     socket.set(zmq::sockopt::heartbeat_ivl, milliseconds(timing.ping_interval));
     socket.set(
         zmq::sockopt::heartbeat_timeout, milliseconds(timing.ping_timeout));
+    socket.set(
+        zmq::sockopt::handshake_ivl, milliseconds(timing.handshake_timeout));
     if (timing.connect_timeout > 0s)
         socket.set(
             zmq::sockopt::connect_timeout,
@@ -246,6 +248,8 @@
             duty.refused_connections.fetch_add(1, std::memory_order_relaxed);
 }
 
+void transmit(peers_duty& duty, outgoing_message&& message);
+
 /// Records the sender's incarnation. Returns false if a message of a newer one
 /// has arrived.
 bool accept_incarnation(peers_duty& duty, const incoming_message& message)
@@ -485,13 +489,14 @@
     constexpr duration ping = 700ms;
     constexpr duration ping_timeout = 1500ms;
     constexpr duration connect_timeout = 1000ms;
+    constexpr duration handshake_timeout = 1500ms;
     peers_options options;
     options.self.value = to_string(address);
     options.incarnation =
         static_cast<std::uint64_t>(time_of_day().milliseconds);
     options.address = to_string(bind.value_or(address));
     options.open_membership = true;
-    options.timing = {ping, ping_timeout, connect_timeout};
+    options.timing = {ping, ping_timeout, connect_timeout, handshake_timeout};
     return options;
 }
 
--- a/src/daemon/peers_duty.hpp
+++ b/src/daemon/peers_duty.hpp
@@ -54,6 +54,9 @@
     duration ping_timeout = 4000ms;
     /// Maximum time to establish a connection; zero uses the kernel's limit.
     duration connect_timeout{};
+    /// A new connection whose other side does not answer the handshake for this
+    /// long is closed. Pings begin only after the handshake.
+    duration handshake_timeout = 4000ms;
 };
 
 /// Settings of the peers duty.
--- a/tests/control/peers_duty_test.cpp
+++ b/tests/control/peers_duty_test.cpp
@@ -28,6 +28,19 @@
     peers_sender* outgoing = nullptr;
 };
 
+void receive_directories(pair_of_peers& nodes)
+{
+    on_message(
+        *nodes.receiver,
+        wire::directory,
+        [&nodes](incoming_message&& message)
+        {
+            const std::lock_guard lock(nodes.seen.mutex);
+            nodes.bodies.push_back(std::move(message.body));
+            nodes.seen.changed.notify_all();
+        });
+}
+
 void start_pair(
     pair_of_peers& nodes,
     const std::optional<peer_keys>& sender_keys,
@@ -48,32 +61,35 @@
     nodes.sender = make_peers_duty(a);
     nodes.receiver = make_peers_duty(b);
     nodes.outgoing = &make_sender(*nodes.sender, 1024);
-    on_message(
-        *nodes.receiver,
-        wire::directory,
-        [&nodes](incoming_message&& message)
-        {
-            const std::lock_guard lock(nodes.seen.mutex);
-            nodes.bodies.push_back(std::move(message.body));
-            nodes.seen.changed.notify_all();
-        });
+    receive_directories(nodes);
     REQUIRE_FALSE(start(*nodes.receiver));
     REQUIRE_FALSE(start(*nodes.sender));
 }
 
-/// Sends repeatedly until one message has arrived; false after `timeout`.
-bool message_arrives(pair_of_peers& nodes, duration timeout)
+/// Sends repeatedly until one more message has arrived; false after `timeout`.
+bool message_arrives(
+    pair_of_peers& nodes, const node_id& receiver, duration timeout)
 {
+    const std::size_t before = [&]
+    {
+        const std::lock_guard lock(nodes.seen.mutex);
+        return nodes.bodies.size();
+    }();
     return wait_for(
         nodes.seen,
         timeout,
         [&]
         {
-            send(*nodes.outgoing, {{"b"}, wire::directory, "hello"});
-            return !nodes.bodies.empty();
+            send(*nodes.outgoing, {receiver, wire::directory, "hello"});
+            return nodes.bodies.size() > before;
         });
 }
 
+bool message_arrives(pair_of_peers& nodes, duration timeout)
+{
+    return message_arrives(nodes, {"b"}, timeout);
+}
+
 /// Sends raw bytes to the receiver on a connection of an unknown process.
 void send_raw(const pair_of_peers& nodes, const std::string& bytes)
 {
@@ -194,6 +210,32 @@
         }));
 }
 
+TEST_CASE("a connection that is silent from its start is replaced")
+{
+    namespace asio = boost::asio;
+    pair_of_peers nodes;
+    asio::io_context loop;
+    asio::ip::tcp::acceptor silent(
+        loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const std::string address =
+        "127.0.0.1:" + std::to_string(silent.local_endpoint().port());
+    peers_options a = open_membership_options({"127.0.0.1", 0}, {});
+    a.self = {"a"};
+    nodes.sender = make_peers_duty(a);
+    nodes.outgoing = &make_sender(*nodes.sender, 1024);
+    REQUIRE_FALSE(start(*nodes.sender));
+    send(*nodes.outgoing, {{address}, wire::directory, "hello"});
+    const asio::ip::tcp::socket kept_open = silent.accept();
+    silent.close();
+
+    peers_options b =
+        open_membership_options(parse_endpoint(address).value(), {});
+    nodes.receiver = make_peers_duty(b);
+    receive_directories(nodes);
+    REQUIRE_FALSE(start(*nodes.receiver));
+    CHECK(message_arrives(nodes, {address}, 5s));
+}
+
 TEST_CASE("an invalid key or a missing key file is reported as a failure")
 {
     CHECK(std::holds_alternative<failure>(parse_peer_keys("short")));
