A process whose clock was set back between two starts is heard

Cause: a process's incarnation is the time of day at its start, and peers drop what comes from an older incarnation than they have heard. Class: an order that rests on a clock that may go back.

An entry has no disk to count its starts. So a peer that drops a message for this reason now tells the sender the incarnation that it has heard, and the sender goes on above it. A late message of the process before stays dropped, since its incarnation is lower still.

--- a/src/daemon/peers_duty.cpp
+++ b/src/daemon/peers_duty.cpp
@@ -8,8 +8,10 @@
 #include <algorithm>
 #include <atomic>
 #include <cerrno>
+#include <charconv>
 #include <chrono>
 #include <deque>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <set>
@@ -30,6 +32,8 @@
 /// that was opened for the first of them: after a start of many nodes, replies
 /// and votes would be lost otherwise.
 constexpr duration first_connect_time = 500ms;
+/// Minimum time between two incarnation notices to one node.
+constexpr duration notice_interval = 100ms;
 /// Interval at which waiting messages are tried again.
 constexpr std::chrono::milliseconds waiting_retry_interval{10};
 constexpr std::size_t max_waiting_messages = 1024;
@@ -91,6 +95,8 @@
     std::map<node_id, time_point> last_sent_at;
     time_point next_idle_check;
     std::map<node_id, std::uint64_t> incarnations;
+    /// When each node was last told that its incarnation is too low.
+    std::map<node_id, time_point> notified_at;
     /// With open membership, when the connection to each node was opened, and
     /// the encoded messages that wait for it.
     std::map<node_id, time_point> opened_at;
@@ -264,6 +270,37 @@
     return newest == message.incarnation;
 }
 
+/// Tells a node that its messages are dropped because a higher incarnation of
+/// it was heard: its clock was set back before it started.
+void send_incarnation_notice(
+    peers_duty& duty, const node_id& to, std::uint64_t newest)
+{
+    const time_point now = uptime();
+    time_point& notified_at = duty.notified_at[to];
+    if (now - notified_at < notice_interval)
+        return;
+    notified_at = now;
+    transmit(duty, {to, wire::incarnation_notice, std::to_string(newest)});
+}
+
+void handle_incarnation_notice(
+    peers_duty& duty, const incoming_message& message)
+{
+    std::uint64_t heard = 0;
+    const char* const end = message.body.data() + message.body.size();
+    const auto [parsed_to, error] =
+        std::from_chars(message.body.data(), end, heard);
+    if (error != std::errc() || parsed_to != end ||
+        heard == std::numeric_limits<std::uint64_t>::max())
+    {
+        duty.malformed.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    // A late message of an earlier process brings a notice of the own one.
+    if (heard > duty.options.incarnation)
+        duty.options.incarnation = heard + 1;
+}
+
 void handle_frame(peers_duty& duty, const zmq::message_t& frame)
 {
     wire::envelope envelope;
@@ -287,11 +324,17 @@
     if (!accept_incarnation(duty, message))
     {
         duty.stale_incarnation.fetch_add(1, std::memory_order_relaxed);
+        if (duty.options.open_membership)
+            send_incarnation_notice(
+                duty, message.from, duty.incarnations[message.from]);
         return;
     }
     if (duty.options.observe)
         duty.options.observe({envelope.wall_ms(), envelope.logical()});
     count_message(duty.received[message.kind], frame.size());
+    if (message.kind == wire::incarnation_notice &&
+        duty.options.open_membership)
+        return handle_incarnation_notice(duty, message);
     if (const message_handler& handler = duty.handlers[message.kind])
         handler(std::move(message));
 }
@@ -336,6 +379,7 @@
             }
             duty.dealers.erase(i->first);
             duty.incarnations.erase(i->first);
+            duty.notified_at.erase(i->first);
             duty.opened_at.erase(i->first);
             i = duty.last_sent_at.erase(i);
         }
--- a/src/daemon/peers_duty.hpp
+++ b/src/daemon/peers_duty.hpp
@@ -64,7 +64,8 @@
 {
     node_id self;
     /// Identifies this run of the process; increases with each start of the
-    /// node.
+    /// node. With open membership it may start too low: the node raises it when
+    /// a peer tells it that it heard a higher one.
     std::uint64_t incarnation = 1;
     /// IP:PORT to listen on; port 0 selects a free port.
     std::string address;
--- a/tests/control/peers_duty_test.cpp
+++ b/tests/control/peers_duty_test.cpp
@@ -23,6 +23,7 @@
 {
     observed seen;
     std::vector<std::string> bodies;
+    std::uint64_t last_incarnation = 0;
     peers_duty_ptr sender;
     peers_duty_ptr receiver;
     peers_sender* outgoing = nullptr;
@@ -37,6 +38,7 @@
         {
             const std::lock_guard lock(nodes.seen.mutex);
             nodes.bodies.push_back(std::move(message.body));
+            nodes.last_incarnation = message.incarnation;
             nodes.seen.changed.notify_all();
         });
 }
@@ -236,6 +238,42 @@
     CHECK(message_arrives(nodes, {address}, 5s));
 }
 
+TEST_CASE("a node whose clock was set back between two starts is heard")
+{
+    pair_of_peers nodes;
+    const endpoint a_address = parse_endpoint(free_address()).value();
+    const endpoint b_address = parse_endpoint(free_address()).value();
+    nodes.receiver = make_peers_duty(open_membership_options(b_address, {}));
+    receive_directories(nodes);
+    REQUIRE_FALSE(start(*nodes.receiver));
+    const auto start_sender = [&](std::uint64_t incarnation)
+    {
+        nodes.sender.reset();
+        peers_options options = open_membership_options(a_address, {});
+        options.incarnation = incarnation;
+        nodes.sender = make_peers_duty(options);
+        nodes.outgoing = &make_sender(*nodes.sender, 1024);
+        REQUIRE_FALSE(start(*nodes.sender));
+    };
+    start_sender(9000);
+    REQUIRE(message_arrives(nodes, {to_string(b_address)}, 5s));
+    start_sender(4000);
+    CHECK(message_arrives(nodes, {to_string(b_address)}, 5s));
+
+    SECTION("and what the earlier process sent stays dropped")
+    {
+        const auto dropped = status_of(*nodes.receiver).stale_incarnation;
+        send_raw(nodes, envelope_from(to_string(a_address), 9000));
+        CHECK(counter_rises(
+            nodes,
+            [&](const peers_status& status)
+            { return status.stale_incarnation > dropped ? 1 : 0; }));
+        const std::uint64_t raised = nodes.last_incarnation;
+        REQUIRE(message_arrives(nodes, {to_string(b_address)}, 5s));
+        CHECK(nodes.last_incarnation == raised);
+    }
+}
+
 TEST_CASE("an invalid key or a missing key file is reported as a failure")
 {
     CHECK(std::holds_alternative<failure>(parse_peer_keys("short")));
