Soak: a judge of the promises about the configuration on real processes

It judges: in force in time at entries in touch, never back within one life, invalid or refused content neither acknowledged nor read nor obeyed, resends not refused, added routes served, final answers in time, acknowledgements in time in calm, the newest version whole at the end.

Faults in bursts: kills (also of the leader, of all), freezes, throttled processes, stops, lost disks, disks that are full one after the other or stall, clock steps with restarts, replaced control nodes, changed settings, links that are cut, reset, silent, slow. BERGAMOTUSHER_SOAK_PROGRAM plays the runs on another build.

--- /dev/null
+++ b/tests/soak/configuration_faults.hpp
@@ -0,0 +1,87 @@
+// Injects the faults of a configuration soak: to processes, links, disks and
+// clocks, in bursts that overlap, and tells the contact log of them.
+#pragma once
+
+#include "soak/contact_log.hpp"
+#include "soak/test_cluster.hpp"
+#include "soak/upstream_set.hpp"
+
+#include <functional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace soak
+{
+
+class configuration_faults
+{
+public:
+    configuration_faults(
+        test_cluster& cluster,
+        upstream_set& upstreams,
+        contact_log& contacts,
+        unsigned seed,
+        time_point started_at);
+
+    void inject_random_fault();
+    /// Kills the control node that leads; for the moment right after an
+    /// acknowledgement.
+    void kill_leader();
+    /// Kills all nodes, one of them with its disk, and starts them again.
+    void kill_everything();
+    void end_due_faults(time_point now);
+    void end_all_faults();
+
+    /// The injected faults, one line each.
+    std::vector<std::string> log;
+
+private:
+    struct scheduled_end
+    {
+        time_point due_at;
+        std::function<void()> end;
+    };
+
+    unsigned random_control_node();
+    unsigned random_node();
+    std::chrono::milliseconds random_duration(int min_ms, int max_ms);
+    void log_fault(const std::string& description);
+    void
+    schedule_end(std::chrono::milliseconds delay, std::function<void()> end);
+    /// Marks a node as disturbed until `release`; false if it already is, or if
+    /// too many control nodes are.
+    bool reserve(unsigned node);
+    void release(unsigned node);
+    /// Tells the contact log; returns the function that ends the disturbance.
+    std::function<void()> disturb(unsigned node);
+
+    void kill(unsigned node);
+    void freeze(unsigned node);
+    void throttle(unsigned node);
+    void stop(unsigned node);
+    void disturb_message_link(unsigned node);
+    void disturb_service_link();
+    void lose_disk();
+    /// Fills the disks of some control nodes, one after the other.
+    void fill_disks();
+    void stall_disk();
+    void step_clock(unsigned node);
+    void change_settings();
+    void replace_control_node();
+    void kill_control_nodes();
+    void start(unsigned node);
+
+    test_cluster& cluster_;
+    upstream_set& upstreams_;
+    contact_log& contacts_;
+    std::mt19937 random_;
+    time_point started_at_;
+    std::set<unsigned> disturbed_;
+    std::vector<scheduled_end> ends_;
+    time_point next_disk_loss_at_;
+    time_point next_disk_fault_at_;
+};
+
+} // namespace soak
--- a/tests/soak/run_history.hpp
+++ b/tests/soak/run_history.hpp
@@ -51,6 +51,8 @@
     /// The request carried the caller's API key.
     bool has_api_key = false;
     time_point started_at;
+    /// The service of the upstream.
+    std::string service;
 };
 
 class run_history
--- a/tests/soak/run_history_test.cpp
+++ b/tests/soak/run_history_test.cpp
@@ -37,7 +37,8 @@
             request_body(kind, attempt),
             "acme",
             false,
-            now};
+            now,
+            "desk"};
     }
 };
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -40,7 +40,7 @@
 {
     explicit soak_fixture(const run_options& given)
         : options(given)
-        , cloud_api(address_plan(given.seed).cloud_api(), history)
+        , cloud_api(address_plan(given.seed, {}).cloud_api(), history)
         , cluster(given.seed, given.folder)
         , upstreams(cluster, history, given.seed)
     {
@@ -83,7 +83,8 @@
     while (true)
     {
         const reply answer = send_once(
-            fixture.cluster.control_address(random() % control_node_count),
+            fixture.cluster.control_address(
+                random() % fixture.cluster.shape.control_nodes),
             "POST",
             "/Config.Replace",
             body);
@@ -157,7 +158,8 @@
                 max_propagation_time)
                 min_version = fixture.acknowledged_version;
         }
-        const auto read = read_version(fixture, random() % control_node_count);
+        const auto read = read_version(
+            fixture, random() % fixture.cluster.shape.control_nodes);
         if (read && *read < min_version)
             fixture.history.record_violation(
                 "read configuration " + std::to_string(*read) + " although " +
@@ -169,7 +171,8 @@
 resolve_frontends(soak_fixture& fixture, std::mt19937& random)
 {
     const reply answer = send_once(
-        fixture.cluster.control_address(random() % control_node_count),
+        fixture.cluster.control_address(
+            random() % fixture.cluster.shape.control_nodes),
         "GET",
         "/resolve?name=soak.example&zone=east",
         "");
@@ -318,7 +321,7 @@
 private:
     unsigned random_node()
     {
-        return random_() % node_count;
+        return random_() % node_count(fixture_.cluster.shape);
     }
 
     milliseconds random_duration(int min_ms, int max_ms)
@@ -440,7 +443,7 @@
     void kill_control_nodes()
     {
         log_fault("kill all control nodes");
-        for (unsigned i = 0; i < control_node_count; ++i)
+        for (const unsigned i : fixture_.cluster.control_nodes())
             if (reserve_node(i))
             {
                 fixture_.cluster.process(i).kill();
@@ -459,7 +462,7 @@
     void lose_disk()
     {
         const time_point now = clock_type::now();
-        const unsigned node = random_() % control_node_count;
+        const unsigned node = random_() % fixture_.cluster.shape.control_nodes;
         if (now < next_disk_loss_at_ || !reserve_node(node))
             return;
         next_disk_loss_at_ = now + std::chrono::seconds(8);
@@ -491,8 +494,8 @@
 
 bool all_entries_ready(soak_fixture& fixture)
 {
-    for (unsigned i = control_node_count; i < node_count; ++i)
-        if (!fixture.cluster.is_ready(i))
+    for (const unsigned each : fixture.cluster.entries())
+        if (!fixture.cluster.is_ready(each))
             return false;
     return true;
 }
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -6,6 +6,7 @@
 // BERGAMOTUSHER_SOAK_SECONDS sets the duration of fault injection for each
 // seed, in seconds. Logs are kept for runs with violations, and for all runs if
 // BERGAMOTUSHER_KEEP_LOGS is set.
+#include "soak/configuration_run.hpp"
 #include "soak/soak_run.hpp"
 
 #include <catch2/catch.hpp>
@@ -25,11 +26,13 @@
 /// being revoked.
 const std::vector<unsigned> regression_seeds{43, 44};
 
-std::vector<unsigned> selected_seeds()
+const std::vector<unsigned> configuration_seeds{1};
+
+std::vector<unsigned> selected_seeds(const std::vector<unsigned>& preset)
 {
     const char* value = std::getenv("BERGAMOTUSHER_SOAK_SEEDS");
     if (value == nullptr)
-        return regression_seeds;
+        return preset;
     const std::string text = value;
     const auto dash = text.find('-');
     const auto from = static_cast<unsigned>(std::stoul(text));
@@ -51,19 +54,27 @@
 
 } // namespace
 
-TEST_CASE("the programs keep their guarantees under random faults")
+namespace
 {
-    for (const unsigned seed : selected_seeds())
+
+/// Runs each seed in a section of its own and reports what it violated.
+void run_seeds(
+    const std::vector<unsigned>& seeds,
+    const char* name,
+    soak::run_result (*run)(const soak::run_options&))
+{
+    for (const unsigned seed : seeds)
     {
         DYNAMIC_SECTION("seed " << seed)
         {
             soak::run_options options;
             options.seed = seed;
             options.fault_seconds = fault_seconds();
-            options.folder = std::filesystem::temp_directory_path() /
-                             ("soak-" + std::to_string(::getpid()) + "-" +
-                              std::to_string(seed));
-            const soak::run_result result = soak::run_soak(options);
+            options.folder =
+                std::filesystem::temp_directory_path() /
+                (std::string(name) + "-" + std::to_string(::getpid()) + "-" +
+                 std::to_string(seed));
+            const soak::run_result result = run(options);
             for (const std::string& fault : result.faults)
                 UNSCOPED_INFO("fault: " << fault);
             UNSCOPED_INFO("logs: " << options.folder);
@@ -71,7 +82,7 @@
                 UNSCOPED_INFO("violation: " << violation);
             CHECK(result.violations.empty());
             CHECK(result.executions > 100);
-            std::cout << "seed " << seed << ": " << result.executions
+            std::cout << name << " seed " << seed << ": " << result.executions
                       << " executions, " << result.faults.size() << " faults, "
                       << result.violations.size() << " violations\n";
             if (result.violations.empty() &&
@@ -80,3 +91,18 @@
         }
     }
 }
+
+} // namespace
+
+TEST_CASE("the programs keep their guarantees under random faults")
+{
+    run_seeds(selected_seeds(regression_seeds), "soak", soak::run_soak);
+}
+
+TEST_CASE("the configuration is obeyed as acknowledged under random faults")
+{
+    run_seeds(
+        selected_seeds(configuration_seeds),
+        "configuration",
+        soak::run_configuration_soak);
+}
--- a/tests/soak/test_cluster.cpp
+++ b/tests/soak/test_cluster.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <unistd.h>
@@ -30,6 +32,14 @@
 constexpr unsigned first_upstream_octet = 60;
 constexpr unsigned cloud_api_octet = 250;
 
+void set_flag(const std::string& path, bool present)
+{
+    if (present)
+        std::ofstream(path) << "\n";
+    else
+        files::remove(path);
+}
+
 const std::vector<std::string> failure_domains{"east", "north", "west"};
 
 json bounds_settings()
@@ -48,6 +58,8 @@
         {"quotaSlack", 110000}};
 }
 
+} // namespace
+
 json make_route(
     const std::string& prefix,
     const std::string& type,
@@ -68,12 +80,11 @@
         {"resumable", type == "streaming"}};
 }
 
-} // namespace
-
-address_plan::address_plan(unsigned seed)
+address_plan::address_plan(unsigned seed, cluster_shape shape)
     : prefix_(
           "127." + std::to_string(80 + ::getpid() % 100) + "." +
           std::to_string(1 + seed % 250) + ".")
+    , shape_(shape)
 {
 }
 
@@ -95,7 +106,7 @@
 std::string
 address_plan::advertised_for(const std::string& listen_address) const
 {
-    for (unsigned i = 0; i < node_count; ++i)
+    for (unsigned i = 0; i < node_count(shape_); ++i)
         if (listening(i, frontend_port) == listen_address)
             return advertised(i, frontend_port);
     return listen_address;
@@ -116,11 +127,17 @@
     return address(cloud_api_octet, cloud_api_port);
 }
 
-test_cluster::test_cluster(unsigned seed, std::string folder)
-    : plan(seed), folder_(std::move(folder))
+test_cluster::test_cluster(
+    unsigned seed, std::string folder, cluster_shape given)
+    : shape(given)
+    , plan(seed, given)
+    , folder_(std::move(folder))
+    , next_spare_(given.control_nodes + given.entries)
 {
     files::create_directories(folder_);
-    for (unsigned i = 0; i < node_count; ++i)
+    for (unsigned i = 0; i < shape.control_nodes; ++i)
+        control_nodes_.push_back(i);
+    for (unsigned i = 0; i < node_count(shape); ++i)
     {
         message_links_.push_back(std::make_unique<link>(
             plan.advertised(i, message_port), plan.listening(i, message_port)));
@@ -129,7 +146,7 @@
             plan.advertised(i, port), plan.listening(i, port)));
         processes_.push_back(nullptr);
     }
-    for (unsigned i = 0; i < node_count; ++i)
+    for (unsigned i = 0; i < next_spare_; ++i)
         start(i);
     first_start_ = false;
 }
@@ -141,6 +158,25 @@
     return folder_ + "/data-" + std::to_string(index);
 }
 
+std::string test_cluster::path_prefix(unsigned index) const
+{
+    return folder_ + "/node-" + std::to_string(index);
+}
+
+std::vector<unsigned> test_cluster::control_nodes() const
+{
+    const std::lock_guard lock(mutex_);
+    return control_nodes_;
+}
+
+std::vector<unsigned> test_cluster::entries() const
+{
+    std::vector<unsigned> all;
+    for (unsigned i = 0; i < shape.entries; ++i)
+        all.push_back(shape.control_nodes + i);
+    return all;
+}
+
 std::string test_cluster::node_settings(unsigned index) const
 {
     json settings{
@@ -160,8 +196,11 @@
           {"duties", {"metering", "autoscale"}}}}};
     const std::string message_address = plan.advertised(index, message_port);
     settings["ip"] = message_address.substr(0, message_address.find(':'));
-    for (unsigned i = 0; i < control_node_count; ++i)
-        settings["seedNodes"].push_back(plan.advertised(i, api_port));
+    constexpr std::size_t max_seeds = 3;
+    std::vector<unsigned> seeds = control_nodes();
+    seeds.resize(std::min(seeds.size(), max_seeds));
+    for (const unsigned each : seeds)
+        settings["seedNodes"].push_back(plan.advertised(each, api_port));
     if (is_control(index))
     {
         settings["listen"] = {
@@ -177,17 +216,37 @@
 
 void test_cluster::start(unsigned index)
 {
-    const std::string path_prefix = folder_ + "/node-" + std::to_string(index);
-    std::ofstream(path_prefix + ".json") << node_settings(index);
+    write_settings(index);
     if (is_control(index))
         files::create_directories(data_folder(index));
+    std::vector<std::string> variables{
+        "BERGAMOTUSHER_BOOT=" + path_prefix(index) + ".json",
+        "BERGAMOTUSHER_PEER_BIND=" + plan.listening(index, message_port)};
+    if (shape.faulty_environment)
+    {
+        variables.push_back(
+            std::string("LD_PRELOAD=") + BERGAMOTUSHER_BIN +
+            "/libfaulty_environment.so");
+        variables.push_back(
+            "FAULTY_ENVIRONMENT_FLAGS=" + path_prefix(index) + ".fault-");
+        variables.push_back("FAULTY_ENVIRONMENT_DISK=" + data_folder(index));
+    }
+    // Another build's program shows how an earlier version behaves.
+    const char* program = std::getenv("BERGAMOTUSHER_SOAK_PROGRAM");
     processes_[index] = std::make_unique<child>(
-        std::string(BERGAMOTUSHER_BIN) + "/bergamotusherd_platform",
+        program != nullptr
+            ? std::string(program)
+            : std::string(BERGAMOTUSHER_BIN) + "/bergamotusherd_platform",
         std::vector<std::string>{},
-        path_prefix + ".log",
-        std::vector<std::string>{
-            "BERGAMOTUSHER_BOOT=" + path_prefix + ".json",
-            "BERGAMOTUSHER_PEER_BIND=" + plan.listening(index, message_port)});
+        path_prefix(index) + ".log",
+        std::move(variables));
+}
+
+void test_cluster::write_settings(unsigned index) const
+{
+    const std::string path = path_prefix(index) + ".json";
+    std::ofstream(path + ".new") << node_settings(index);
+    files::rename(path + ".new", path);
 }
 
 child& test_cluster::process(unsigned index)
@@ -202,6 +261,50 @@
     start(index);
 }
 
+void test_cluster::remove(unsigned index)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        control_nodes_.erase(
+            std::remove(control_nodes_.begin(), control_nodes_.end(), index),
+            control_nodes_.end());
+    }
+    process(index).kill();
+    files::remove_all(data_folder(index));
+}
+
+unsigned test_cluster::start_spare()
+{
+    const unsigned index = next_spare_++;
+    start(index);
+    const std::lock_guard lock(mutex_);
+    control_nodes_.push_back(index);
+    return index;
+}
+
+void test_cluster::change_settings(unsigned index)
+{
+    write_settings(index);
+    process(index).send(SIGHUP);
+}
+
+void test_cluster::fill_disk(unsigned index, bool full)
+{
+    set_flag(path_prefix(index) + ".fault-full", full);
+}
+
+void test_cluster::stall_disk(unsigned index, bool stalled)
+{
+    set_flag(path_prefix(index) + ".fault-stalled", stalled);
+}
+
+void test_cluster::step_clock(unsigned index, std::chrono::milliseconds by)
+{
+    const std::string path = path_prefix(index) + ".fault-clock";
+    std::ofstream(path + ".new") << by.count();
+    files::rename(path + ".new", path);
+}
+
 link& test_cluster::message_link(unsigned index)
 {
     return *message_links_[index];
--- a/tests/soak/upstream_set.cpp
+++ b/tests/soak/upstream_set.cpp
@@ -19,8 +19,18 @@
 /// Upper bound of the time from a request to its response head; long enough
 /// that faults hit many requests in progress.
 constexpr std::size_t max_work_ms = 250;
+constexpr auto slow_work = std::chrono::milliseconds(3000);
 constexpr auto event_interval = std::chrono::milliseconds(10);
 
+bool is_known_path(const std::string& path)
+{
+    for (const auto kind :
+         {request_kind::order, request_kind::lookup, request_kind::chat})
+        if (path == request_path(kind))
+            return true;
+    return false;
+}
+
 std::string response_head(int status, const std::string& attempt)
 {
     return "HTTP/1.1 " + std::to_string(status) +
@@ -50,8 +60,14 @@
 };
 
 upstream_set::upstream_set(
-    test_cluster& cluster, run_history& history, unsigned seed)
-    : cluster_(cluster), history_(history), random_(seed)
+    test_cluster& cluster,
+    run_history& history,
+    unsigned seed,
+    std::function<void(const execution_record&)> on_other_execution)
+    : cluster_(cluster)
+    , history_(history)
+    , on_other_execution_(std::move(on_other_execution))
+    , random_(seed)
 {
     for (unsigned i = 0; i < upstream_count; ++i)
     {
@@ -96,7 +112,7 @@
             std::chrono::system_clock::now().time_since_epoch())
             .count();
     const auto handle_request =
-        [this, id = created->id](
+        [this, id = created->id, service = created->service](
             const http_request& request, const response_writer& write)
     {
         const auto field = [&](const char* name)
@@ -110,17 +126,25 @@
                 421, attempt, "Bergamotusher-Not-Executed: 1\r\n"));
             return;
         }
-        history_.record_execution(
-            {attempt,
-             id,
-             std::string(request.method_string()),
-             std::string(request.target()),
-             request.body(),
-             field("Bergamotusher-Tenant"),
-             !field("Authorization").empty(),
-             clock_type::now()});
-        std::this_thread::sleep_for(std::chrono::milliseconds(
-            std::hash<std::string>{}(attempt) % max_work_ms));
+        const execution_record execution{
+            attempt,
+            id,
+            std::string(request.method_string()),
+            std::string(request.target()),
+            request.body(),
+            field("Bergamotusher-Tenant"),
+            !field("Authorization").empty(),
+            clock_type::now(),
+            service};
+        if (on_other_execution_ && !is_known_path(execution.path))
+            on_other_execution_(execution);
+        else
+            history_.record_execution(execution);
+        if (execution.path.find(slow_path) == 0)
+            std::this_thread::sleep_for(slow_work);
+        else
+            std::this_thread::sleep_for(std::chrono::milliseconds(
+                std::hash<std::string>{}(attempt) % max_work_ms));
         const std::string head = response_head(200, attempt) +
                                  "Bergamotusher-Server-Seal: s-" + id + "\r\n";
         if (request.target().find("/chat/") != 0)
@@ -167,14 +191,16 @@
         {"coldRemainingMs", 0},
         {"born", announced.started_ms},
         {"sequence", ++announced.sequence}};
-    unsigned first_node = 0;
+    const std::vector<unsigned> nodes = cluster_.control_nodes();
+    std::size_t first_node = 0;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        first_node = random_() % control_node_count;
+        first_node = random_() % nodes.size();
     }
-    for (unsigned i = 0; i < control_node_count; ++i)
+    for (std::size_t i = 0; i < nodes.size(); ++i)
         if (send_once(
-                cluster_.control_address((first_node + i) % control_node_count),
+                cluster_.control_address(
+                    nodes[(first_node + i) % nodes.size()]),
                 "POST",
                 "/Instances.Heartbeat/" + announced.id,
                 body.dump(),
--- a/tests/soak/upstream_set.hpp
+++ b/tests/soak/upstream_set.hpp
@@ -7,6 +7,7 @@
 #include "soak/test_cluster.hpp"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -18,11 +19,19 @@
 {
 
 inline constexpr unsigned upstream_count = 6;
+/// Upstreams take several seconds for requests below this path.
+inline constexpr const char* slow_path = "/slow/";
 
 class upstream_set
 {
 public:
-    upstream_set(test_cluster& cluster, run_history& history, unsigned seed);
+    /// Executions of requests whose path does not belong to a `request_kind`
+    /// are passed to `on_other_execution` instead of the history.
+    upstream_set(
+        test_cluster& cluster,
+        run_history& history,
+        unsigned seed,
+        std::function<void(const execution_record&)> on_other_execution = {});
     ~upstream_set();
 
     /// Stops the upstream at `index` without notice to the control nodes.
@@ -44,6 +53,7 @@
 
     test_cluster& cluster_;
     run_history& history_;
+    std::function<void(const execution_record&)> on_other_execution_;
     std::mt19937 random_;
     std::mutex mutex_;
     unsigned next_id_ = 0;
