--- a/tests/soak/configuration_history.cpp
+++ b/tests/soak/configuration_history.cpp
@@ -52,46 +52,45 @@
 } // namespace
 
 std::size_t configuration_history::record_sent(
-    const configuration_spec& spec, std::string body, bool may_be_rejected)
+    const configuration_spec& spec,
+    std::string body,
+    bool may_be_rejected,
+    time_point at)
 {
     const std::lock_guard lock(mutex_);
     changes_.push_back(
-        {spec,
-         std::move(body),
-         may_be_rejected,
-         clock_type::now(),
-         {},
-         {},
-         {}});
+        {spec, std::move(body), may_be_rejected, at, {}, {}, {}});
     return changes_.size() - 1;
 }
 
-void configuration_history::record_acknowledged(std::size_t change)
+void configuration_history::record_acknowledged(
+    std::size_t change, time_point at)
 {
     const std::lock_guard lock(mutex_);
     if (!changes_[change].acknowledged_at)
-        changes_[change].acknowledged_at = clock_type::now();
+        changes_[change].acknowledged_at = at;
 }
 
-void configuration_history::record_rejected(std::size_t change)
+void configuration_history::record_rejected(std::size_t change, time_point at)
 {
     const std::lock_guard lock(mutex_);
-    changes_[change].rejected_at = clock_type::now();
+    changes_[change].rejected_at = at;
 }
 
-void configuration_history::record_ended(std::size_t change)
+void configuration_history::record_ended(std::size_t change, time_point at)
 {
     const std::lock_guard lock(mutex_);
-    changes_[change].ended_at = clock_type::now();
+    changes_[change].ended_at = at;
 }
 
-void configuration_history::record_repeat_rejected(std::size_t change)
+void configuration_history::record_repeat_rejected(
+    std::size_t change, time_point at)
 {
     const std::lock_guard lock(mutex_);
     violations_.push_back(
         "version " + std::to_string(changes_[change].spec.version) +
         " was acknowledged, sent again alone and rejected at " +
-        since_start(clock_type::now()));
+        since_start(at));
 }
 
 void configuration_history::record_probe(
@@ -106,12 +105,12 @@
 }
 
 void configuration_history::record_execution(
-    const std::string& attempt, const std::string& service)
+    const std::string& attempt, const std::string& service, time_point at)
 {
     const std::lock_guard lock(mutex_);
     probe_record& probe = probes_[attempt];
     if (probe.services.empty())
-        probe.executed_at = clock_type::now();
+        probe.executed_at = at;
     probe.services.insert(service);
 }
 
--- a/tests/soak/configuration_history.hpp
+++ b/tests/soak/configuration_history.hpp
@@ -72,16 +72,20 @@
 
     /// Returns the number by which the change is referred to later.
     std::size_t record_sent(
-        const configuration_spec& spec, std::string body, bool may_be_rejected);
-    void record_acknowledged(std::size_t change);
+        const configuration_spec& spec,
+        std::string body,
+        bool may_be_rejected,
+        time_point at);
+    void record_acknowledged(std::size_t change, time_point at);
     /// The change was answered with status 4xx.
-    void record_rejected(std::size_t change);
-    void record_ended(std::size_t change);
+    void record_rejected(std::size_t change, time_point at);
+    /// The operator stopped sending the change.
+    void record_ended(std::size_t change, time_point at);
     /// An acknowledged change was sent again, alone, and was rejected.
-    void record_repeat_rejected(std::size_t change);
+    void record_repeat_rejected(std::size_t change, time_point at);
     void record_probe(const std::string& attempt, const probe_record& probe);
-    void
-    record_execution(const std::string& attempt, const std::string& service);
+    void record_execution(
+        const std::string& attempt, const std::string& service, time_point at);
     void record_read(const read_record& read);
     /// No control node returned a configuration at the end of the run.
     void record_final_read_missing(unsigned node);
--- a/tests/soak/configuration_run.cpp
+++ b/tests/soak/configuration_run.cpp
@@ -45,7 +45,9 @@
               {
                   ++executions;
                   history.record_execution(
-                      execution.attempt, execution.service);
+                      execution.attempt,
+                      execution.service,
+                      execution.started_at);
               })
         , newest(first_configuration())
     {
@@ -118,18 +120,18 @@
                          : 1.0);
         if (answer.status == 200 && answer.complete)
         {
-            fixture.history.record_acknowledged(number);
+            fixture.history.record_acknowledged(number, clock_type::now());
             return true;
         }
         if (is_rejection(answer))
         {
-            fixture.history.record_rejected(number);
+            fixture.history.record_rejected(number, clock_type::now());
             return false;
         }
         sleep_ms(backoff_ms);
         backoff_ms = std::min(2 * backoff_ms, 500);
     }
-    fixture.history.record_ended(number);
+    fixture.history.record_ended(number, clock_type::now());
     return false;
 }
 
@@ -156,8 +158,8 @@
             {
                 std::mt19937 own(static_cast<unsigned>(seed));
                 const std::string body = to_json(spec);
-                const std::size_t number =
-                    fixture.history.record_sent(spec, body, true);
+                const std::size_t number = fixture.history.record_sent(
+                    spec, body, true, clock_type::now());
                 send_change(fixture, number, body, own);
             }));
 }
@@ -174,7 +176,8 @@
     constexpr unsigned defects = 7;
     spec.defect = static_cast<configuration_defect>(1 + random() % defects);
     const std::string body = to_json(spec);
-    const std::size_t number = fixture.history.record_sent(spec, body, false);
+    const std::size_t number =
+        fixture.history.record_sent(spec, body, false, clock_type::now());
     send_change(fixture, number, body, random);
 }
 
@@ -205,12 +208,12 @@
         const configuration_spec spec = draw_next(fixture, random);
         const std::string body = to_json(spec);
         const std::size_t number =
-            fixture.history.record_sent(spec, body, false);
+            fixture.history.record_sent(spec, body, false, clock_type::now());
         if (!send_change(fixture, number, body, random))
             continue;
         if (random() % 4 == 0 &&
             is_rejection(call_control_node(fixture, random, body, 1.0)))
-            fixture.history.record_repeat_rejected(number);
+            fixture.history.record_repeat_rejected(number, clock_type::now());
         if (random() % 6 == 0)
             send_other_content(fixture, spec, random);
     }
@@ -345,8 +348,8 @@
 {
     std::mt19937 random(fixture.options.seed);
     const std::string body = to_json(fixture.newest);
-    const std::size_t number =
-        fixture.history.record_sent(fixture.newest, body, false);
+    const std::size_t number = fixture.history.record_sent(
+        fixture.newest, body, false, clock_type::now());
     send_change(fixture, number, body, random);
 }
 
