CONFIG: a late answer to an earlier process does not acknowledge a change

What operators would see: a change or a departure acknowledged that no log holds, so that it is never in force. A control node is killed while a change that it forwarded is open, and starts again at once; the leader's `committed` for the earlier process's ticket answers the new process's change with the same number, since each process began to count at 1 and an answer is matched by the ticket alone. Queries for a confirmation had the same hole. Class: an answer paired with another question.

Tickets and queries begin at a random 64-bit number now, in both programs.

Evidence: "a late answer to an earlier process does not answer a proposal" failed with the counts from 1 (answered once instead of not at all). Whether it is what the users saw cannot be told; no run on real processes showed it.

--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <random>
 
 namespace bergamotusher
 {
@@ -233,6 +232,8 @@
           storage_queue_capacity,
           [this](storage_report&& report)
           { handle_storage_report(*this, std::move(report)); })
+    , next_ticket(random_number())
+    , next_confirmation(random_number())
 {
 }
 
@@ -331,10 +332,7 @@
 make_control(control_options options, state_machine machine, peers_duty& peers)
 {
     if (options.seed == 0)
-    {
-        std::random_device device;
-        options.seed = (std::uint64_t{device()} << 32U) | device();
-    }
+        options.seed = random_number();
     control_handle duty(
         new control_duty(std::move(options), std::move(machine), peers));
     for (const wire::message_kind kind :
--- a/src/daemon/control_start.cpp
+++ b/src/daemon/control_start.cpp
@@ -16,12 +16,6 @@
 
 constexpr std::size_t storage_queue_capacity = 4096;
 
-std::uint64_t random_number()
-{
-    std::random_device device;
-    return (std::uint64_t{device()} << 32U) | device();
-}
-
 consensus::storage_options storage_options_of(const control_options& options)
 {
     consensus::storage_options storage;
@@ -119,6 +113,12 @@
 
 } // namespace
 
+std::uint64_t random_number()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
 std::vector<consensus::configured_node>
 configured_nodes(const control_options& options)
 {
--- a/src/daemon/control_state.hpp
+++ b/src/daemon/control_state.hpp
@@ -111,14 +111,16 @@
     /// Proposals sent to the leader, by the ticket that its answer carries.
     std::map<std::uint64_t, proposal_sender> forwarded_proposals;
     std::map<std::uint64_t, std::string> forwarded_commands;
-    std::uint64_t next_ticket = 1;
+    /// Begins at random, as does `next_confirmation`: a late answer to an
+    /// earlier process of this node must not answer one of this process.
+    std::uint64_t next_ticket;
     /// Proposals of other nodes that were accepted and not answered yet: node,
     /// incarnation, ticket.
     std::set<std::tuple<node_id, std::uint64_t, std::uint64_t>> accepted_remote;
 
     // Configuration lease.
     std::optional<confirmation> current_confirmation;
-    std::uint64_t next_confirmation = 1;
+    std::uint64_t next_confirmation;
     time_point next_confirmation_at;
     bool leader_answered = false;
 
@@ -129,6 +131,8 @@
     std::atomic<std::uint64_t> order_index{0};
 };
 
+/// A number that no other process of the node has drawn, in all likelihood.
+std::uint64_t random_number();
 /// The present time on the clock of the process.
 time_point steady_now();
 
--- a/tests/control/control_answers_test.cpp
+++ b/tests/control/control_answers_test.cpp
@@ -155,6 +155,34 @@
     }
 }
 
+namespace
+{
+
+/// Forwards one proposal to the leader and returns the ticket that its answer
+/// will carry.
+std::uint64_t forward_proposal(stopped_duty& stopped)
+{
+    stopped.control->core.leader = {"n1"};
+    accept_proposal(
+        *stopped.control, *stopped.sending_proposer, {1, "change", now() + 1h});
+    flush_proposals(*stopped.control);
+    return stopped.control->forwarded_proposals.begin()->first;
+}
+
+} // namespace
+
+TEST_CASE("a late answer to an earlier process does not answer a proposal")
+{
+    stopped_duty earlier;
+    const std::uint64_t late = forward_proposal(earlier);
+    stopped_duty restarted;
+    forward_proposal(restarted);
+    handle_proposal_reply(
+        *restarted.control,
+        make_reply(late, wire::replica::forwarded_answer::committed));
+    CHECK(restarted.seen.answered == 0);
+}
+
 TEST_CASE("a duplicate of a forwarded proposal is ignored")
 {
     stopped_duty stopped;
