A change that its node cannot propose is answered in time and not made later

While a replica cannot be opened, because its disk is full, changes wait in a queue without a thread: operators and upstreams got no answer until it opened, and an expired change was appended then, a version move seconds after its order.

A proposal that comes after its deadline is answered as not committed, and the service answers changes whose deadline has passed with an unknown outcome by itself.

Evidence: "a proposal that comes after its deadline is not appended later" failed before: no answer, and one pending.

--- a/src/daemon/control_proposals.cpp
+++ b/src/daemon/control_proposals.cpp
@@ -62,8 +62,10 @@
 
 void enqueue(control_duty& duty, pending_proposal&& value)
 {
-    if (duty.pending.size() + duty.forwarded_proposals.size() >=
-        duty.options.max_waiting_proposals)
+    // Proposals may have waited while the replica was not open.
+    if (value.sender.deadline <= steady_now() ||
+        duty.pending.size() + duty.forwarded_proposals.size() >=
+            duty.options.max_waiting_proposals)
         return answer(duty, value.sender, proposal_outcome::not_committed);
     duty.pending.push_back(std::move(value));
     schedule_flush(duty);
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -207,10 +207,10 @@
 void control_service::propose_change(std::string command, change_callback done)
 {
     const std::uint64_t ticket = next_ticket_++;
-    pending_.emplace(ticket, std::move(done));
-    const bool accepted = propose(
-        *proposer_,
-        {ticket, std::move(command), uptime() + options_.change_timeout});
+    const time_point deadline = uptime() + options_.change_timeout;
+    pending_.emplace(ticket, pending_change{std::move(done), deadline});
+    const bool accepted =
+        propose(*proposer_, {ticket, std::move(command), deadline});
     if (!accepted)
         on_proposal_answer({ticket, proposal_outcome::not_committed, {}, 0});
 }
@@ -228,6 +228,16 @@
         done(std::nullopt);
 }
 
+void control_service::expire_changes(time_point now)
+{
+    std::vector<std::uint64_t> expired;
+    for (const auto& [ticket, change] : pending_)
+        if (change.deadline <= now)
+            expired.push_back(ticket);
+    for (const std::uint64_t ticket : expired)
+        on_proposal_answer({ticket, proposal_outcome::unknown, {}, 0});
+}
+
 void control_service::replace(
     std::uint64_t version, const std::string& content, change_callback done)
 {
@@ -427,6 +437,7 @@
 void control_service::tick()
 {
     const time_point now = uptime();
+    expire_changes(now);
     update_leadership();
     merge_held_announcements(now);
     announce_confirmation(now);
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -204,6 +204,8 @@
     void on_state_changed();
     void propose_change(std::string command, change_callback done);
     void on_proposal_answer(const proposal_answer& answer);
+    /// Answers changes whose time is over, as when the replica is not open.
+    void expire_changes(time_point now);
     void on_entry_report(const incoming_message& message);
     void on_directory(const incoming_message& message);
     void merge_announcement(const upstream& announcement, time_point now);
@@ -260,7 +262,12 @@
     std::unique_ptr<mailbox<incoming_message>> peer_inbox_;
     std::unique_ptr<mailbox<proposal_answer>> proposal_answers_;
     std::uint64_t next_ticket_ = 1;
-    std::map<std::uint64_t, change_callback> pending_;
+    struct pending_change
+    {
+        change_callback done;
+        time_point deadline;
+    };
+    std::map<std::uint64_t, pending_change> pending_;
 
     shared_clock clock_;
     upstream_directory directory_;
--- a/tests/control/control_answers_test.cpp
+++ b/tests/control/control_answers_test.cpp
@@ -183,6 +183,17 @@
     CHECK(restarted.seen.answered == 0);
 }
 
+TEST_CASE("a proposal that comes after its deadline is not appended later")
+{
+    stopped_duty stopped;
+    accept_proposal(
+        *stopped.control,
+        *stopped.sending_proposer,
+        {1, "change", now() - 1ms});
+    CHECK(stopped.outcome(1) == proposal_outcome::not_committed);
+    CHECK(stopped.control->pending.empty());
+}
+
 TEST_CASE("a duplicate of a forwarded proposal is ignored")
 {
     stopped_duty stopped;
