CONFIG: a confirmation answers a report of the same process only

Found by the review, from the code. A control node repeats the time at which an entry sent its last report, for up to 30 s, also to a new process at the same address, whose clock may lie hours behind (a machine that was started anew, a replaced one). The entry took the time as its own and its site as confirmed until far in the future: withdrawn keys would be obeyed, in touch or not. Class: a permission paired with something else than it was given for.

The entry ignores confirmations and grants for a time before its start or after now.

Processes of one machine share a clock, so no run on one machine can show it.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -356,7 +356,11 @@
         install_site(report.site_version(), report.site(), now);
     const std::uint64_t held = view_.site ? view_.site->value.version : 0;
     const time_point report_sent_at{duration(report.asked_at_us())};
-    if (report.confirmed_age_us() >= 0 && report.asked_at_us() != 0 &&
+    // A control node may repeat what an earlier process at this address sent,
+    // by another clock.
+    const bool is_own_report =
+        report_sent_at >= started_at_ && report_sent_at <= now;
+    if (report.confirmed_age_us() >= 0 && is_own_report &&
         report.site_version() <= held && view_.site)
     {
         view_.site_confirmed_at = std::max(
@@ -433,7 +437,7 @@
     if (report.entries() > 0)
         view_.entries = report.entries();
     // The ledger of another node does not count what this node granted.
-    if (report.allowances_size() > 0 && from == leader_ &&
+    if (report.allowances_size() > 0 && from == leader_ && is_own_report &&
         report_sent_at > view_.grants_reported_at)
         install_grants(report, report_sent_at);
     for (const pb::service_speed& each : report.speeds())
--- /dev/null
+++ b/tests/gateway/control_link_test.cpp
@@ -0,0 +1,78 @@
+// What an entry concludes from the reports of control nodes.
+#include "base/clock.hpp"
+#include "gateway/control_link.hpp"
+#include "gateway/relay_fixture.hpp"
+#include "site/sample_site.hpp"
+#include "wire/site.pb.h"
+
+#include <catch2/catch.hpp>
+
+using namespace relay_fixture;
+
+namespace
+{
+
+std::variant<site::configuration, failure> parse_site(std::string_view)
+{
+    return sample::configuration(1);
+}
+
+/// A control link that keeps the reports that it sends.
+struct linked_entry
+{
+    entry_fixture entry;
+    std::vector<wire::site::entry_report> sent;
+    control_link link;
+
+    linked_entry()
+        : link(
+              {.seeds = {{"c1"}}, .parse = parse_site},
+              entry.view,
+              *entry.requests,
+              entry.log,
+              [this](const node_id&, const std::string& bytes)
+              {
+                  sent.emplace_back();
+                  REQUIRE(sent.back().ParseFromString(bytes));
+              })
+    {
+        entry.view.site_valid_until = {};
+        entry.view.site_confirmed_at = {};
+        link.tick(uptime());
+        REQUIRE_FALSE(sent.empty());
+    }
+
+    void receive(std::int64_t asked_at_us)
+    {
+        wire::site::control_report report;
+        report.set_asked_at_us(asked_at_us);
+        report.set_confirmed_age_us(0);
+        report.set_site_version(1);
+        report.set_site("1");
+        link.on_control_report({"c1"}, report.SerializeAsString());
+    }
+};
+
+} // namespace
+
+TEST_CASE(
+    "a confirmation holds for the lease from the report that asked for it")
+{
+    linked_entry linked;
+    const std::int64_t asked_at_us = linked.sent.back().asked_at_us();
+
+    SECTION("in answer to a report of this process")
+    {
+        linked.receive(asked_at_us);
+        CHECK(linked.link.ready(uptime()));
+        CHECK_FALSE(linked.link.ready(uptime() + 4400ms));
+    }
+    SECTION("not in answer to a report of an earlier process, by another clock")
+    {
+        constexpr std::int64_t hour_us = 3'600'000'000;
+        linked.receive(asked_at_us + hour_us);
+        CHECK_FALSE(linked.link.ready(uptime()));
+        linked.receive(asked_at_us - hour_us);
+        CHECK_FALSE(linked.link.ready(uptime()));
+    }
+}
