An entry that raises its incarnation is not counted twice

The leader counted its use, load and outcomes under both, for as long as the first was kept.

Reports name the run of the process; all of a run count under the incarnation of its first.

Evidence: "an entry that raises its incarnation is not counted twice" and "all reports of one process name the same run" are new; the counts were keyed by the incarnation before.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -5,6 +5,7 @@
 #include "wire/site.pb.h"
 
 #include <algorithm>
+#include <random>
 
 namespace bergamotusher::gateway
 {
@@ -45,6 +46,7 @@
     , log_(log)
     , send_(std::move(send))
     , started_at_(uptime())
+    , run_id_(std::random_device{}() | 1U)
 {
     view_.usage_window = options_.usage_window;
     view_.awaiting_directory = true;
@@ -250,6 +252,7 @@
     report.set_asked_at_us(now.time_since_epoch().count());
     report.set_time_of_day_ms(time_of_day().milliseconds);
     report.set_site_version(view_.site ? view_.site->value.version : 0);
+    report.set_run_id(run_id_);
     report.set_ready(ready(now));
     report.set_caller_address(options_.caller_address);
     report.set_domain(options_.domain.value);
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -122,6 +122,9 @@
     node_id leader_;
     shared_clock clock_;
     time_point started_at_;
+    /// Tells this process's reports from those of earlier ones, whatever its
+    /// incarnation.
+    std::uint64_t run_id_;
     time_point next_report_at_;
     time_point leader_reported_at_;
     time_point crashes_reported_at_;
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -220,7 +220,7 @@
     const auto found = pending_.find(answer.ticket);
     if (found == pending_.end())
         return;
-    const change_callback done = std::move(found->second);
+    const change_callback done = std::move(found->second.done);
     pending_.erase(found);
     if (answer.outcome == proposal_outcome::committed)
         done(decode_result(answer.result));
@@ -302,6 +302,7 @@
     entry.caller_address = report.caller_address();
     entry.domain.value = report.domain();
     entry.incarnation = message.incarnation;
+    record_run(entry.run, report.run_id(), message.incarnation);
     entry.site_version = report.site_version();
     entry.ready = report.ready();
     entry.heard_at = now;
@@ -314,7 +315,7 @@
                 .with("ready", entry.ready ? 1 : 0)
                 .with("incarnation", entry.incarnation),
             now);
-    const entry_incarnation source{message.from, message.incarnation};
+    const entry_incarnation source{message.from, entry.run.first_incarnation};
     for (const pb::usage_count& each : report.usage())
         record_usage(
             usage_, source, each.window(), {each.account()}, each.begun());
@@ -330,7 +331,7 @@
         record_use(
             limit_usage_,
             message.from,
-            message.incarnation,
+            entry.run.first_incarnation,
             {read_amounts(report.admitted()),
              read_amounts(report.held_grants()),
              time_point{duration(report.held_since_us())},
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -128,6 +128,7 @@
     std::string caller_address;
     failure_domain domain;
     std::uint64_t incarnation = 0;
+    entry_run run;
     std::uint64_t site_version = 0;
     bool ready = false;
     time_point heard_at;
--- a/src/site/usage_ledger.cpp
+++ b/src/site/usage_ledger.cpp
@@ -5,6 +5,12 @@
 namespace bergamotusher::site
 {
 
+void record_run(entry_run& run, std::uint64_t id, std::uint64_t incarnation)
+{
+    if (id == 0 || id != run.id)
+        run = {id, incarnation};
+}
+
 void record_usage(
     usage_ledger& ledger,
     const entry_incarnation& source,
--- a/src/site/usage_ledger.hpp
+++ b/src/site/usage_ledger.hpp
@@ -27,7 +27,21 @@
     std::int64_t report_expiry_ms = 30000;
 };
 
-/// One run of an entry process; its counts restart from 0 with each run.
+/// One run of an entry's process. The process may raise its incarnation while
+/// it runs, but what it reports counts once.
+struct entry_run
+{
+    std::uint64_t id = 0;
+    /// The incarnation of its first report.
+    std::uint64_t first_incarnation = 0;
+};
+
+/// Records that a report of the run `id`, or 0 if it names none, came with
+/// `incarnation`.
+void record_run(entry_run& run, std::uint64_t id, std::uint64_t incarnation);
+
+/// One run of an entry process, by the incarnation of its first report; its
+/// counts restart from 0 with each run.
 struct entry_incarnation
 {
     node_id entry;
--- a/tests/gateway/control_link_test.cpp
+++ b/tests/gateway/control_link_test.cpp
@@ -76,3 +76,13 @@
         CHECK_FALSE(linked.link.ready(uptime()));
     }
 }
+
+TEST_CASE("all reports of one process name the same run")
+{
+    linked_entry first;
+    linked_entry second;
+    first.link.tick(uptime() + 1s);
+    REQUIRE(first.sent.size() > 1);
+    CHECK(first.sent.front().run_id() == first.sent.back().run_id());
+    CHECK(first.sent.front().run_id() != second.sent.front().run_id());
+}
--- a/tests/site/usage_ledger_test.cpp
+++ b/tests/site/usage_ledger_test.cpp
@@ -42,3 +42,25 @@
         CHECK(ledger.windows.empty());
     }
 }
+
+TEST_CASE("an entry that raises its incarnation is not counted twice")
+{
+    entry_run run;
+    const auto source = [&](std::uint64_t id, std::uint64_t incarnation)
+    {
+        record_run(run, id, incarnation);
+        return entry_incarnation{{"e1"}, run.first_incarnation};
+    };
+    const entry_incarnation started = source(71, 4000);
+    CHECK(source(71, 9001) == started);
+
+    SECTION("but a restarted one counts anew")
+    {
+        CHECK(source(72, 9500) != started);
+        CHECK(source(72, 9500) == source(72, 9501));
+    }
+    SECTION("as does one that names no run")
+    {
+        CHECK(source(0, 9500) != source(0, 9501));
+    }
+}
