The verdict on a version survives the next order

Cause: the site's state kept one move for each service, and an order overwrote it with its verdict. Entries took every version but the newest target for the old one. A target that was overtaken before its verdict came back in the same way.

A move now carries the history that entries need: the version in force when it was ordered, and the targets of earlier moves that were not accepted. The old version of a move is the last completed one; where that has no upstream, or none was completed, all versions that no move has tried. An order for a rejected version lifts its verdict and tries it anew with a first share. A version in force is never rejected: there is nothing else to go back to.

The list holds 32 versions of a service, the oldest is forgotten first. After a completed move a forgotten version gets nothing either while the version in force has an upstream.

A rejected version gets nothing even where no other is left. A refused request has not run and can be sent again; one that a bad version ran often can not. Before, it was used after a completed move without upstreams.

--- a/src/gateway/entry_view.cpp
+++ b/src/gateway/entry_view.cpp
@@ -1,12 +1,37 @@
 #include "gateway/entry_view.hpp"
 
 #include "base/hash.hpp"
+#include "site/move_history.hpp"
 
 #include <algorithm>
 
 namespace bergamotusher::gateway
 {
 
+namespace
+{
+
+/// Upstreams of the version in force or, where it has none, of all versions
+/// that no move has tried.
+std::vector<upstream_view*> select_old_version(
+    const site::version_move& move,
+    const std::vector<upstream_view*>& upstreams)
+{
+    std::vector<upstream_view*> in_force;
+    std::vector<upstream_view*> untried;
+    for (upstream_view* each : upstreams)
+    {
+        const version_name& version = each->value.version;
+        if (site::is_in_force(move, version))
+            in_force.push_back(each);
+        else if (version != move.target && !site::is_rejected(move, version))
+            untried.push_back(each);
+    }
+    return in_force.empty() ? untried : in_force;
+}
+
+} // namespace
+
 std::vector<std::string> sync_upstreams(entry_view& view, time_point now)
 {
     std::set<std::string> current_addresses;
@@ -81,15 +106,12 @@
         break;
     }
     std::vector<upstream_view*> chosen;
-    for (upstream_view* each : found->second)
-        if ((each->value.version == target) == to_target)
-            chosen.push_back(each);
-    // If the chosen version has no upstream, those of the other version are
-    // used, except when the target was rolled back.
-    const bool use_other_version =
-        chosen.empty() &&
-        (to_target || move->second.state == site::move_state::completed);
-    return use_other_version ? found->second : chosen;
+    if (to_target)
+        for (upstream_view* each : found->second)
+            if (each->value.version == target)
+                chosen.push_back(each);
+    return chosen.empty() ? select_old_version(move->second, found->second)
+                          : chosen;
 }
 
 } // namespace bergamotusher::gateway
--- a/src/site/site_codec.cpp
+++ b/src/site/site_codec.cpp
@@ -17,11 +17,14 @@
     to.set_number(from.number);
     to.set_share(from.share);
     to.set_reason(from.reason);
+    for (const version_name& each : from.rejected)
+        to.add_rejected(each.value);
+    to.set_accepted(from.accepted.value);
 }
 
 version_move read(const pb::move_value& from)
 {
-    return {
+    version_move to{
         {from.service()},
         {from.target()},
         static_cast<move_state>(from.state()),
@@ -30,6 +33,10 @@
         from.number(),
         from.share(),
         from.reason()};
+    for (const std::string& each : from.rejected())
+        to.rejected.push_back({each});
+    to.accepted.value = from.accepted();
+    return to;
 }
 
 void write(pb::prefill_speed_value& to, const routing::prefill_speed& from)
--- a/src/site/site_state.cpp
+++ b/src/site/site_state.cpp
@@ -1,5 +1,6 @@
 #include "site/site_state.hpp"
 
+#include "site/move_history.hpp"
 #include "site/site_codec.hpp"
 #include "wire/site.pb.h"
 
@@ -67,15 +68,8 @@
         move.state != move_state::reverted &&
         now_ms < move.started_ms + from.duration_ms())
         return {std::nullopt, state.version};
-    move = {
-        service,
-        {from.target()},
-        move_state::active,
-        now_ms,
-        from.duration_ms(),
-        move.number + 1,
-        0,
-        {}};
+    move =
+        next_move(move, service, {from.target()}, now_ms, from.duration_ms());
     return {std::nullopt, state.version};
 }
 
--- a/src/site/site_state.hpp
+++ b/src/site/site_state.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bergamotusher::site
 {
@@ -49,6 +50,11 @@
     /// Share of the service's requests that the target gets, per mille.
     std::uint32_t share = 0;
     std::string reason;
+    /// Targets of earlier moves that were not accepted, oldest first, and the
+    /// target of the last move that was completed before this one; empty if
+    /// none was.
+    std::vector<version_name> rejected{};
+    version_name accepted{};
 
     bool operator==(const version_move&) const = default;
 };
--- a/tests/site/site_state_test.cpp
+++ b/tests/site/site_state_test.cpp
@@ -1,8 +1,10 @@
 // Guards against replicas that disagree or apply a command twice: the highest
 // version wins, a resend is acknowledged, and other content under the version
 // in force is refused.
+#include "site/move_history.hpp"
 #include "site/sample_site.hpp"
 #include "site/site_state.hpp"
+#include "wire/site.pb.h"
 
 #include <catch2/catch.hpp>
 
@@ -114,6 +116,84 @@
     }
 }
 
+TEST_CASE("an order for the next version does not lose the verdict on the one "
+          "before")
+{
+    replica node;
+    node.replace(1, "1");
+    const auto order = [&](const std::string& target, std::int64_t at_s)
+    {
+        return node.run(encode_start_move(
+            {"llm"}, {target}, 12'000, {noon.milliseconds + at_s * 1'000}));
+    };
+    const auto end = [&](move_state state)
+    {
+        version_move ended = node.state.moves.at({"llm"});
+        ended.state = state;
+        node.run(encode_advance_move(ended, noon));
+    };
+    const auto move = [&]() -> const version_move&
+    {
+        return node.state.moves.at({"llm"});
+    };
+    order("v2", 0);
+    end(move_state::reverted);
+    order("v3", 5);
+    REQUIRE(move().rejected == std::vector<version_name>{{"v2"}});
+
+    SECTION("a resend of the order changes nothing")
+    {
+        const version_move first = move();
+        order("v3", 6);
+        CHECK(move() == first);
+    }
+    SECTION("a version that was overtaken joins it, and is lifted by an order")
+    {
+        order("v4", 6);
+        CHECK(move().rejected == std::vector<version_name>{{"v2"}, {"v3"}});
+        order("v2", 7);
+        CHECK(move().rejected == std::vector<version_name>{{"v3"}, {"v4"}});
+        end(move_state::completed);
+        order("v5", 8);
+        CHECK(move().rejected == std::vector<version_name>{{"v3"}, {"v4"}});
+        CHECK(move().accepted == version_name{"v2"});
+    }
+    SECTION("the oldest verdicts are forgotten beyond the bound")
+    {
+        for (std::size_t i = 0; i < max_rejected_versions + 3; ++i)
+            order("w" + std::to_string(i), 6);
+        REQUIRE(move().rejected.size() == max_rejected_versions);
+        CHECK(move().rejected.front() == version_name{"w2"});
+        CHECK(move().rejected.back() == version_name{"w33"});
+    }
+    SECTION("it is kept by snapshots")
+    {
+        site_state other;
+        REQUIRE_FALSE(restore(other, parse, snapshot(node.state)));
+        CHECK(other.moves == node.state.moves);
+    }
+}
+
+TEST_CASE("reads the reverted move of a snapshot without a history of moves")
+{
+    wire::site::site_snapshot earlier;
+    earlier.set_applied(3);
+    earlier.set_version(1);
+    earlier.set_content("1");
+    wire::site::move_value& reverted = *earlier.add_moves();
+    reverted.set_service("llm");
+    reverted.set_target("v2");
+    reverted.set_state(2);
+    reverted.set_number(1);
+    replica node;
+    REQUIRE_FALSE(restore(node.state, parse, earlier.SerializeAsString()));
+    node.index = 3;
+    node.run(encode_start_move({"llm"}, {"v3"}, 12'000, noon));
+    CHECK(
+        node.state.moves.at({"llm"}).rejected ==
+        std::vector<version_name>{{"v2"}});
+}
+
 TEST_CASE("closes a usage window only once")
 {
     replica node;
