An active target serves requests where no old version is left

Callers were refused for seconds, though upstreams ran: if the operator ordered the first version again after a reverted one, 93 in 100 requests had no upstream until the move widened, since every other version was rejected. The same held when all upstreams of the old version left during a move.

Cause: a request whose draw is beyond the target's share was for the old version only, whether that had upstreams or not.

Now the target serves all requests while its move is active, no upstream of an old version is listed, and the entry has the whole directory. That may be a bad version, but nothing can be compared with it; the verdict comes sooner, and with it the refusals.

Evidence: "requests are not refused while only the target of an active move has upstreams" failed before, "{ } == { v1 }". Its sections also hold the limits: not while the directory is awaited, not after `reverted`, not while an old version has an upstream.

--- a/src/gateway/entry_view.cpp
+++ b/src/gateway/entry_view.cpp
@@ -105,13 +105,18 @@
     case site::move_state::reverted:
         break;
     }
-    std::vector<upstream_view*> chosen;
-    if (to_target)
-        for (upstream_view* each : found->second)
-            if (each->value.version == target)
-                chosen.push_back(each);
-    return chosen.empty() ? select_old_version(move->second, found->second)
-                          : chosen;
+    std::vector<upstream_view*> of_target;
+    for (upstream_view* each : found->second)
+        if (each->value.version == target)
+            of_target.push_back(each);
+    if (to_target && !of_target.empty())
+        return of_target;
+    std::vector<upstream_view*> old_version =
+        select_old_version(move->second, found->second);
+    const bool use_target_only =
+        old_version.empty() && move->second.state == site::move_state::active &&
+        !view.awaiting_directory;
+    return use_target_only ? of_target : old_version;
 }
 
 } // namespace bergamotusher::gateway
--- a/src/gateway/entry_view.hpp
+++ b/src/gateway/entry_view.hpp
@@ -102,9 +102,10 @@
 /// The upstreams to which a request of `service` may be sent. During a version
 /// move these are the upstreams of the target version if `draw` (0 to 999) is
 /// below the target's share, otherwise those of the old version, which is the
-/// last one that was accepted. A rejected version gets nothing even if no other
-/// has an upstream: a request that was refused can be sent again, one that a
-/// bad version has run can often not.
+/// last one that was accepted. If that has no upstream, an active target serves
+/// all: it is more likely good than bad, and is judged sooner. A rejected
+/// version gets nothing even if no other has an upstream: a request that was
+/// refused can be sent again, one that a bad version has run can often not.
 std::vector<upstream_view*> eligible_upstreams(
     const entry_view& view, const service_name& service, std::uint32_t draw);
 
--- a/tests/gateway/version_selection_test.cpp
+++ b/tests/gateway/version_selection_test.cpp
@@ -250,6 +250,37 @@
     }
 }
 
+TEST_CASE("requests are not refused while only the target of an active move "
+          "has upstreams")
+{
+    site_with_entry site;
+    site.list({"v1", "v2"});
+    site.revert("v2");
+    site.order("v1");
+    site.advance(move_state::active, canary_share);
+
+    SECTION("as when the first version is ordered after a reverted one")
+    {
+        CHECK(site.old_versions() == versions{"v1"});
+    }
+    SECTION("but wait while the entry may not know the others yet")
+    {
+        site.view.awaiting_directory = true;
+        CHECK(site.old_versions().empty());
+        CHECK(site.chosen(0) == versions{"v1"});
+    }
+    SECTION("but are refused once it is reverted")
+    {
+        site.advance(move_state::reverted, 0);
+        CHECK(site.old_versions().empty());
+    }
+    SECTION("and go to an old version as soon as one has an upstream")
+    {
+        site.list({"v0", "v1", "v2"});
+        CHECK(site.old_versions() == versions{"v0"});
+    }
+}
+
 TEST_CASE("a verdict holds for one service only")
 {
     site_with_entry site;
