A rejected version's late answers are no evidence of the old version

A bad version could go on for longer if it was ordered soon after another bad one: requests that the earlier one still ran ended as failures, or late, and counted as the old version's. An order that overtook a move at its full share put nearly all answers of the overtaken version there.

Evidence: "late failures of a reverted version do not hide that the next one is bad" failed against the function before the condition was added: 40 failures counted as the old version's, and a target with 3 failures in 7 answers stayed active.

--- a/src/site/control_duties.cpp
+++ b/src/site/control_duties.cpp
@@ -85,35 +85,7 @@
         }
         std::map<std::string, version_evidence> routes;
         for (const auto& [source, load] : entry_loads_)
-            for (const auto& [key, seen] : load->counts)
-            {
-                const auto& [of, version, route] = key;
-                if (of != service.value)
-                    continue;
-                version_counts delta = seen;
-                const auto base = load->baseline.find(key);
-                if (base != load->baseline.end())
-                {
-                    delta.successes -=
-                        std::min(delta.successes, base->second.successes);
-                    delta.failures -=
-                        std::min(delta.failures, base->second.failures);
-                    delta.latency_samples -= std::min(
-                        delta.latency_samples, base->second.latency_samples);
-                    delta.log_latency_sum -= base->second.log_latency_sum;
-                }
-                version_evidence& sum = routes[route];
-                sum.route = route;
-                const bool is_new = version == move.target.value;
-                (is_new ? sum.new_successes : sum.old_successes) +=
-                    delta.successes;
-                (is_new ? sum.new_failures : sum.old_failures) +=
-                    delta.failures;
-                (is_new ? sum.new_latency_samples : sum.old_latency_samples) +=
-                    delta.latency_samples;
-                (is_new ? sum.new_log_latency_sum : sum.old_log_latency_sum) +=
-                    delta.log_latency_sum;
-            }
+            add_evidence(routes, move, load->counts, load->baseline);
         std::vector<version_evidence> evidence;
         evidence.reserve(routes.size());
         for (auto& [route, each] : routes)
