Tests: an answer that is cut at any byte is never passed on as whole

Operators of systems like this one report upstreams that stop in the middle of an answer's head and close; their callers got a 200 with an empty or short body. An answer is cut here after each of its bytes, by close and by reset, on new and on reused connections: for orders (502, sent once), repeatable requests (sent again, the second answer whole) and streams (resumed after the last whole event, or cut). Answers with a length, chunks with extension and trailer, 100 and 103 before the head, 204, and without a length. Contradictory lengths are refused too.

--- /dev/null
+++ b/tests/gateway/cut_answer_test.cpp
@@ -0,0 +1,278 @@
+// Guards against an answer that its upstream broke off, in the head or in the
+// body, and that reaches the caller framed as if it were whole.
+#include "base/clock.hpp"
+#include "gateway/relay_fixture.hpp"
+
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+
+using namespace bergamotusher;
+using namespace bergamotusher::gateway;
+using namespace relay_fixture;
+
+namespace
+{
+
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::size_t count(const std::string& text, const std::string& part)
+{
+    std::size_t found = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos;
+         at = text.find(part, at + part.size()))
+        ++found;
+    return found;
+}
+
+const std::string head = "HTTP/1.1 200 X\r\nSigned: yes\r\nAttempt: 2\r\n";
+const std::string interim =
+    "HTTP/1.1 100 Continue\r\n\r\n"
+    "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+    "HTTP/1.1 103 Early Hints\r\nAttempt: 2\r\nLink: y\r\n\r\n";
+
+/// Sends `text` and returns what comes until the entry closes the connection.
+std::string send_until_closed(
+    entry_fixture& entry, const std::string& text, duration limit = 4s)
+{
+    boost::asio::ip::tcp::socket socket(entry.loop);
+    socket.connect({boost::asio::ip::address_v4::loopback(), entry.port});
+    boost::asio::async_write(
+        socket,
+        boost::asio::buffer(text),
+        [](boost::system::error_code, std::size_t) {});
+    std::string received;
+    std::array<char, 4096> chunk{};
+    bool closed = false;
+    std::function<void()> read = [&]
+    {
+        socket.async_read_some(
+            boost::asio::buffer(chunk),
+            [&](boost::system::error_code error, std::size_t size)
+            {
+                received.append(chunk.data(), size);
+                closed = error.failed();
+                if (!closed)
+                    read();
+            });
+    };
+    read();
+    const time_point end = uptime() + limit;
+    while (!closed && uptime() < end)
+    {
+        entry.loop.restart();
+        entry.loop.run_one_for(std::chrono::milliseconds(2));
+    }
+    CHECK(closed);
+    socket.close();
+    entry.loop.restart();
+    entry.loop.poll();
+    return received;
+}
+
+/// A request after whose answer the caller's connection is closed.
+std::string closing_request(
+    const std::string& method, const std::string& path, int attempt = 1)
+{
+    std::string text = request(method, path, attempt);
+    return text.insert(text.find("Attempt"), "Connection: close\r\n");
+}
+
+/// An entry before two upstreams of `service`; the second one appears once the
+/// first one has received request 2. Before that, request 1 may leave its
+/// connection for use again.
+struct cut_fixture
+{
+    entry_fixture entry;
+    std::unique_ptr<scripted_upstream> first;
+    std::unique_ptr<scripted_upstream> second;
+
+    cut_fixture(
+        const std::string& service,
+        const std::string& path,
+        bool reuses_connection,
+        const std::string& script)
+    {
+        first = entry.add_upstream("u1", service);
+        if (reuses_connection)
+        {
+            first->scripts = {
+                service == "llm" ? stream_head() + event(1) + "0\r\n\r\n"
+                                 : answer(200, "first")};
+            send_until_closed(entry, closing_request("POST", path + "1"));
+            REQUIRE(first->requests.size() == 1);
+        }
+        first->scripts = {script};
+        first->on_request = [this, service]
+        {
+            if (second)
+                return;
+            REQUIRE(first->connections == 1);
+            second = entry.add_upstream("u2", service);
+            second->on_request = [this, service]
+            {
+                if (service != "llm")
+                {
+                    second->scripts = {answer(200, "of the second", 2)};
+                    return;
+                }
+                std::string rest = stream_head(2);
+                for (int id = 1; id <= 3; ++id)
+                    if (id > resumed_after())
+                        rest += event(id);
+                second->scripts = {rest + "0\r\n\r\n"};
+            };
+        };
+    }
+
+    int resumed_after() const
+    {
+        const std::string& sent = second->requests.back();
+        const std::size_t at = sent.find("Resume: ");
+        return at == std::string::npos ? 0 : sent[at + 8] - '0';
+    }
+};
+
+/// An answer, and how many of its bytes a closed connection may follow without
+/// it being a whole one.
+struct cut_answer
+{
+    std::string bytes;
+    std::size_t incomplete;
+};
+
+std::vector<cut_answer> answers_to_cut()
+{
+    std::vector<cut_answer> all;
+    for (const std::string& rest :
+         {std::string("Content-Length: 12\r\n\r\nhello, world"),
+          std::string("Transfer-Encoding: chunked\r\n\r\n"
+                      "10;a=b\r\n0123456789abcdef\r\n2\r\nxy\r\n0\r\n"
+                      "T: x\r\n\r\n")})
+        all.push_back({head + rest, (head + rest).size()});
+    all.push_back({interim + answer(200, "hello", 2), 0});
+    all.back().incomplete = all.back().bytes.size();
+    const std::string bodiless =
+        "HTTP/1.1 204 X\r\nSigned: yes\r\nAttempt: 2\r\n\r\n";
+    all.push_back({bodiless, bodiless.size()});
+    all.push_back({head + "\r\nends with it", head.size() + 2});
+    return all;
+}
+
+} // namespace
+
+TEST_CASE(
+    "an order whose answer is cut at any byte is neither whole nor repeated")
+{
+    const bool reused = GENERATE(false, true);
+    const std::string how = GENERATE("<cut>", "<reset>");
+    CAPTURE(reused, how);
+    for (const cut_answer& each : answers_to_cut())
+    {
+        // An answer without a length is incomplete after a reset at any byte.
+        const std::size_t end =
+            how == "<reset>" ? each.bytes.size() : each.incomplete;
+        for (std::size_t size = 0; size < end; ++size)
+        {
+            const std::string script = each.bytes.substr(0, size);
+            CAPTURE(script);
+            cut_fixture cut("desk", "/order/", reused, script + how);
+            const std::string received = send_until_closed(
+                cut.entry, closing_request("POST", "/order/2", 2));
+            CHECK(received.substr(0, 12) == "HTTP/1.1 502");
+            CHECK(cut.first->requests.size() == (reused ? 2 : 1));
+            REQUIRE(cut.second);
+            CHECK(cut.second->requests.empty());
+        }
+    }
+}
+
+TEST_CASE("a repeatable request whose answer is cut at any byte is sent again")
+{
+    const bool reused = GENERATE(false, true);
+    const std::string how = GENERATE("<cut>", "<reset>");
+    CAPTURE(reused, how);
+    std::string whole = answer(200, "of the second", 2);
+    whole.insert(whole.find("\r\n\r\n") + 2, "Connection: close\r\n");
+    for (const cut_answer& each : answers_to_cut())
+    {
+        const std::size_t end =
+            how == "<reset>" ? each.bytes.size() : each.incomplete;
+        for (std::size_t size = 0; size < end; ++size)
+        {
+            const std::string script = each.bytes.substr(0, size);
+            CAPTURE(script);
+            cut_fixture cut("desk", "/lookup/", reused, script + how);
+            const std::string received = send_until_closed(
+                cut.entry, closing_request("POST", "/lookup/2", 2));
+            CHECK(received == whole);
+            CHECK(cut.second->requests.size() == 1);
+        }
+    }
+}
+
+TEST_CASE("a stream that is cut at any byte goes on after its last whole event")
+{
+    const bool reused = GENERATE(false, true);
+    const bool resumable = GENERATE(true, false);
+    const std::string how = GENERATE("<cut>", "<reset>");
+    CAPTURE(reused, resumable, how);
+    const std::string events = event(1) + event(2) + event(3);
+    const std::string whole = stream_head(2) + events + "0\r\n\r\n";
+    for (std::size_t size = 0; size < whole.size(); ++size)
+    {
+        const std::string script = whole.substr(0, size);
+        CAPTURE(script);
+        cut_fixture cut("llm", "/chat/", reused, script + how);
+        auto site = cut.entry.view.site->value;
+        for (site::route& route : site.routes)
+            route.resumable = resumable;
+        cut.entry.view.site = site::index_configuration(site);
+        const std::string received =
+            send_until_closed(cut.entry, closing_request("POST", "/chat/2", 2));
+        const int sent = static_cast<int>(count(script, "data: x\n\n"));
+        for (int id = 1; id <= 3; ++id)
+            CHECK(
+                count(
+                    received, "id: " + std::to_string(id) + "\ndata: x\n\n") ==
+                (resumable || id <= sent ? 1 : 0));
+        REQUIRE(cut.second);
+        CHECK(cut.second->requests.size() == (resumable ? 1 : 0));
+        const bool ends_as_whole = contains(received, "\r\n0\r\n\r\n");
+        CHECK(ends_as_whole == resumable);
+        if (resumable)
+            CHECK(cut.resumed_after() == sent);
+        else if (sent == 0)
+            CHECK(received.substr(0, 12) == "HTTP/1.1 502");
+        else
+            CHECK(received.substr(0, 12) == "HTTP/1.1 200");
+    }
+}
+
+TEST_CASE("an answer with contradictory lengths is not passed on")
+{
+    entry_fixture entry;
+    const auto upstream = entry.add_upstream("u1", "desk");
+    const std::string lengths = GENERATE(
+        "Content-Length: 2\r\nContent-Length: 5\r\n",
+        "Content-Length: 2, 5\r\n",
+        "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: -2\r\n",
+        "Content-Length: +2\r\n",
+        "Content-Length: 2x\r\n",
+        "Content-Length:\r\n",
+        "Content-Length: 99999999999999999999999\r\n");
+    CAPTURE(lengths);
+    upstream->scripts = {
+        "HTTP/1.1 200 X\r\nSigned: yes\r\nAttempt: 1\r\n" + lengths +
+        "\r\n2\r\nxy\r\n0\r\n\r\n<cut>"};
+    const std::string received =
+        entry.send_request(request("POST", "/order/1"));
+    CHECK(received.substr(0, 12) == "HTTP/1.1 502");
+}
