A reset while the request is written does not end an answer

What a caller saw: a 200 with the first part of the body, framed with a Content-Length of just these bytes, when its request was long and the upstream answered before it had read it, without a length, and was reset.

Cause: the socket keeps the error of a reset for one call only. With a write waiting, the event loop runs it before the read: the write fails and clears the error, and the read after it sees the plain end that completes an answer without a length. TCP's own timeout of unacknowledged bytes goes the same way.

The connection keeps the write's error, and the end of its input counts as that error. A broken pipe is exempt: Linux reports it where the upstream's end came before the reset.

Evidence: the new test's reset was answered 200 before (expected 502); its second case, an upstream that closes its side in order, is 200 before and after.

--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -204,6 +204,7 @@
                 // An answer that the upstream sent before it closed the
                 // connection can still be read.
                 self->close_after_answer_ = true;
+                self->write_error_ = error;
             });
     }
 
@@ -237,6 +238,10 @@
 
     void on_end_of_input(boost_error error)
     {
+        // A write that fails clears the socket's error, so that a reset looks
+        // like an end here. A broken pipe means that the end came before it.
+        if (write_error_ && write_error_ != asio::error::broken_pipe)
+            error = write_error_;
         if (error == asio::error::eof && parser_->has_header &&
             !parser_->is_done())
         {
@@ -424,6 +429,7 @@
     answer_metadata facts_;
     duration idle_timeout_{};
     time_point idle_since_;
+    boost_error write_error_;
     bool connected_ = false;
     bool reused_ = false;
     bool busy_ = false;
--- a/tests/gateway/cut_answer_test.cpp
+++ b/tests/gateway/cut_answer_test.cpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "gateway/relay_fixture.hpp"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
@@ -276,3 +277,59 @@
         entry.send_request(request("POST", "/order/1"));
     CHECK(received.substr(0, 12) == "HTTP/1.1 502");
 }
+
+// A write that fails takes the error of the reset with it; the read after it
+// sees the end of the connection.
+TEST_CASE("a reset while the request is written does not end an answer")
+{
+    namespace asio = boost::asio;
+    const bool is_reset = GENERATE(true, false);
+    CAPTURE(is_reset);
+    entry_fixture entry;
+    auto site = entry.view.site->value;
+    site.limits.body_bytes = 64 << 20;
+    entry.view.site = site::index_configuration(site);
+    asio::ip::tcp::acceptor acceptor(
+        entry.loop, {asio::ip::address_v4::loopback(), 0});
+    site::upstream value;
+    value.id = {"u1"};
+    value.service = {"desk"};
+    value.address =
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    value.slots = 8;
+    value.sequence = 1;
+    merge(entry.view.directory, value, uptime());
+    entry.requests->on_upstreams_changed();
+    // The upstream reads nothing, so that the rest of the request waits.
+    asio::ip::tcp::socket upstream(entry.loop);
+    acceptor.async_accept(
+        upstream,
+        [&](boost::system::error_code error)
+        {
+            REQUIRE_FALSE(error);
+            asio::write(
+                upstream,
+                asio::buffer(std::string(
+                    "HTTP/1.1 200 X\r\nSigned: yes\r\nAttempt: 1\r\n\r\n"
+                    "part")));
+        });
+    asio::steady_timer timer(entry.loop, 1s);
+    timer.async_wait(
+        [&](boost::system::error_code)
+        {
+            REQUIRE(entry.requests->buffered_bytes() == 4);
+            if (!is_reset)
+                return upstream.shutdown(asio::ip::tcp::socket::shutdown_send);
+            upstream.set_option(asio::socket_base::linger(true, 0));
+            upstream.close();
+        });
+    std::string text = closing_request("POST", "/order/1");
+    const std::size_t bytes = 24 << 20;
+    const std::string length = "Content-Length: ";
+    text.replace(
+        text.find(length), length.size() + 1, length + std::to_string(bytes));
+    const std::string received =
+        send_until_closed(entry, text + std::string(bytes, 'x'));
+    CHECK(
+        received.substr(0, 12) == (is_reset ? "HTTP/1.1 502" : "HTTP/1.1 200"));
+}
