An answer without a body on a stream's route is sent without chunks

What a caller saw on a connection that it keeps: after a 204, or the answer to HEAD, from the service of a stream, the bytes "0\r\n\r\n", where the next answer should begin. A 204 without a length was answered 502.

Cause: each success of a stream's route was forwarded in chunks, also where HTTP allows no body; and one without a length and without an event counted as broken off.

Such an answer is no stream and is forwarded with its head alone. 204 and 304 no longer get a Content-Length either, which HTTP forbids for the one and which is wrong for the other.

Evidence: all three sections of the new test failed before: "0\r\n\r\n" after the head of the 204 and of the answer to HEAD, 502 for the 204 without a length.

--- a/src/gateway/relay_answers.cpp
+++ b/src/gateway/relay_answers.cpp
@@ -19,6 +19,8 @@
 
 constexpr int status_ok_first = 200;
 constexpr int status_ok_last = 299;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
 constexpr int status_server_error = 500;
 constexpr int status_misdirected = 421;
 
@@ -52,6 +54,13 @@
            find_field(fields, "Transfer-Encoding") != nullptr;
 }
 
+/// Whether an answer can have a body; one that cannot ends with its head.
+bool allows_body(std::string_view method, int status)
+{
+    return method != "HEAD" && status != status_no_content &&
+           status != status_not_modified;
+}
+
 } // namespace
 
 void relay::release_upstream(const request_ptr& req)
@@ -158,7 +167,8 @@
     req->fields = answer.fields;
     req->answer = facts;
     req->is_streaming = req->is_stream() && is_success(answer.status) &&
-                        facts.is_signed && !facts.is_encoded;
+                        facts.is_signed && !facts.is_encoded &&
+                        allows_body(req->message.method, answer.status);
     // An answer of another kind does not continue the stream.
     if (req->head_forwarded &&
         content_type_of(answer.fields) != req->content_type)
@@ -330,8 +340,9 @@
         req->status,
         req->reason,
         req->fields,
-        req->message.method == "HEAD" ? std::optional<std::size_t>()
-                                      : req->body.size(),
+        allows_body(req->message.method, req->status)
+            ? std::optional(req->body.size())
+            : std::nullopt,
         caller->closes_connection());
     bytes += "\r\n";
     bytes += req->body;
--- a/tests/gateway/cut_answer_test.cpp
+++ b/tests/gateway/cut_answer_test.cpp
@@ -333,3 +333,32 @@
     CHECK(
         received.substr(0, 12) == (is_reset ? "HTTP/1.1 502" : "HTTP/1.1 200"));
 }
+
+TEST_CASE("an answer without a body is not followed by a chunk's bytes")
+{
+    entry_fixture entry;
+    const auto upstream = entry.add_upstream("u1", "llm");
+    const std::string fields = "Signed: yes\r\nAttempt: 1\r\n";
+    std::string received;
+    SECTION("after 204")
+    {
+        upstream->scripts = {
+            "HTTP/1.1 204 X\r\n" + fields + "Content-Length: 0\r\n\r\n"};
+        received = send_until_closed(entry, closing_request("POST", "/chat/1"));
+    }
+    SECTION("after 204 without a length")
+    {
+        upstream->scripts = {"HTTP/1.1 204 X\r\n" + fields + "\r\n"};
+        received = send_until_closed(entry, closing_request("POST", "/chat/1"));
+    }
+    SECTION("to HEAD")
+    {
+        upstream->scripts = {
+            "HTTP/1.1 200 X\r\n" + fields + "Content-Length: 5\r\n\r\n"};
+        received = send_until_closed(entry, closing_request("HEAD", "/chat/1"));
+    }
+    CHECK(received.substr(0, 10) == "HTTP/1.1 2");
+    const std::size_t end = received.find("\r\n\r\n");
+    REQUIRE(end != std::string::npos);
+    CHECK(received.size() == end + 4);
+}
