An answer in an unknown transfer coding is not passed on

What a caller saw: a signed 200 whose body was not the upstream's: compressed bytes, or the chunk sizes as part of the body, and no field that says so.

Cause: the parser knows "chunked" only. Any other Transfer-Encoding ("gzip", a damaged "chun") makes it read to the end of the connection, and "gzip, chunked" loses its first coding, since the field applies to one connection and is not forwarded.

Such an answer is malformed; the request may have run.

Evidence: the new test got 200 for all four codings before (expected 502).

--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -248,6 +248,17 @@
     return feed_parser(parser, buffer, error);
 }
 
+const char* find_head_fault(const answer_parser& answer)
+{
+    // The field is not forwarded, so the body would be passed on in a coding
+    // that its receiver is not told about.
+    for (const header_field& each : answer.fields)
+        if (equals_ignoring_case(each.name, "Transfer-Encoding") &&
+            !equals_ignoring_case(each.value, "chunked"))
+            return "the transfer coding is not chunked";
+    return nullptr;
+}
+
 void append_field(
     std::string& out, std::string_view name, std::string_view value)
 {
--- a/src/gateway/http_message.hpp
+++ b/src/gateway/http_message.hpp
@@ -152,6 +152,9 @@
     std::string& buffer,
     boost::beast::error_code& error);
 
+/// Why the head of an answer cannot be relied on; null if it can.
+const char* find_head_fault(const answer_parser& answer);
+
 /// Appends "name: value" and the line end.
 void append_field(
     std::string& out, std::string_view name, std::string_view value);
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -323,6 +323,11 @@
         if (!head_delivered_)
         {
             head_delivered_ = true;
+            if (const char* fault = find_head_fault(*parser_))
+            {
+                fail(failure_kind::malformed, fault);
+                return false;
+            }
             facts_ = pool_->codec.read_answer(parser_->status, parser_->fields);
             close_after_answer_ = close_after_answer_ || facts_.closes;
             if (facts_.idle_time)
--- a/tests/gateway/cut_answer_test.cpp
+++ b/tests/gateway/cut_answer_test.cpp
@@ -362,3 +362,18 @@
     REQUIRE(end != std::string::npos);
     CHECK(received.size() == end + 4);
 }
+
+TEST_CASE("an answer in a transfer coding other than chunked is not passed on")
+{
+    entry_fixture entry;
+    const auto upstream = entry.add_upstream("u1", "desk");
+    const std::string coding =
+        GENERATE("gzip", "chunked, gzip", "gzip, chunked", "chun");
+    CAPTURE(coding);
+    upstream->scripts = {
+        "HTTP/1.1 200 X\r\nSigned: yes\r\nAttempt: 1\r\nTransfer-Encoding: " +
+        coding + "\r\n\r\n2\r\nxy\r\n0\r\n\r\n<cut>"};
+    const std::string received =
+        entry.send_request(request("POST", "/order/1"));
+    CHECK(received.substr(0, 12) == "HTTP/1.1 502");
+}
