A head that goes on inside another head is no answer

What callers saw: 503 with the promise that an order had not run, though it had run and its answer was a 200; or a 200 for an answer that was a 500.

Cause: a late copy of an earlier answer that its upstream breaks off in the head, followed by the answer itself on the same connection, parses as one head: the status of the copy, the second status line inside a reason or a field's value, then the id, seal and length of the answer. The id matches, so that the rule for late copies does not see it.

A head with a status line inside a reason or a value is malformed; the request may have run.

Expected is the answer's own status or 502.

--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -24,6 +24,24 @@
     return text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
+bool contains_status_line(std::string_view text)
+{
+    // A digit stands for any digit.
+    constexpr std::string_view pattern = "HTTP/1.1 000";
+    const auto matches = [](char c, char expected)
+    {
+        return std::isdigit(static_cast<unsigned char>(expected)) != 0
+                   ? std::isdigit(static_cast<unsigned char>(c)) != 0
+                   : c == expected;
+    };
+    return std::search(
+               text.begin(),
+               text.end(),
+               pattern.begin(),
+               pattern.end(),
+               matches) != text.end();
+}
+
 template<class Parser>
 parse_outcome feed_parser(
     Parser& parser, std::string& buffer, boost::beast::error_code& error)
@@ -256,6 +274,15 @@
         if (equals_ignoring_case(each.name, "Transfer-Encoding") &&
             !equals_ignoring_case(each.value, "chunked"))
             return "the transfer coding is not chunked";
+    // Where an upstream broke off a head and began another one, the status is
+    // of the first and the rest of the second.
+    if (contains_status_line(answer.reason) ||
+        std::any_of(
+            answer.fields.begin(),
+            answer.fields.end(),
+            [](const header_field& each)
+            { return contains_status_line(each.value); }))
+        return "another head begins inside the head";
     return nullptr;
 }
 
--- a/tests/gateway/cut_answer_test.cpp
+++ b/tests/gateway/cut_answer_test.cpp
@@ -377,3 +377,35 @@
         entry.send_request(request("POST", "/order/1"));
     CHECK(received.substr(0, 12) == "HTTP/1.1 502");
 }
+
+// An upstream breaks off a late copy and sends the answer on the same
+// connection.
+TEST_CASE("a head that goes on inside another head's field is no answer")
+{
+    const std::string refusal =
+        "HTTP/1.1 503 X\r\nNot-Run: yes\r\nAttempt: 1\r\n"
+        "Content-Length: 0\r\n\r\n";
+    const bool copy_is_refusal = GENERATE(true, false);
+    const std::string copy = copy_is_refusal ? refusal : answer(200, "first");
+    const std::string own = answer(copy_is_refusal ? 200 : 500, "mine!", 2);
+    for (std::size_t size = 0; size <= copy.size(); ++size)
+    {
+        CAPTURE(copy.substr(0, size));
+        entry_fixture entry;
+        const auto upstream = entry.add_upstream("u1", "desk");
+        upstream->scripts = {
+            answer(200, "first"), copy.substr(0, size) + own + "<cut>"};
+        send_until_closed(entry, closing_request("POST", "/order/1"));
+        upstream->on_request = [&]
+        {
+            REQUIRE(upstream->connections == 1);
+        };
+        const std::string received =
+            send_until_closed(entry, closing_request("POST", "/order/2", 2));
+        const std::string status = received.substr(0, 12);
+        const bool is_own =
+            status == own.substr(0, 12) && contains(received, "mine!");
+        CHECK((is_own || status == "HTTP/1.1 502"));
+        CHECK(upstream->requests.size() == 2);
+    }
+}
