A late copy of an answer does not reach a request with the same id or none

What a caller saw: the answer to an earlier caller's request, if both requests had no attempt id, or the same one, and the upstream wrote the first answer twice. With the same id this is a caller that comes back after a refusal: the copy says that an order has not run that has.

Cause: late copies on a reused connection are told by their id. Requests without one have nothing to compare, and the same id matches.

A connection is not used again for a request with the id of the one before it on that connection, or for a second one in a row without an id; it is closed, and a new one has no earlier answers to repeat.

Evidence: these two sections of the new test failed before: "first", the earlier answer, was received. Copies before or after HEAD and between requests with different ids were harmless before too.

--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -114,6 +114,11 @@
     {
         return address_;
     }
+    /// Of the request before.
+    const std::string& last_attempt_id() const
+    {
+        return last_attempt_id_;
+    }
     time_point idle_since() const
     {
         return idle_since_;
@@ -389,7 +394,7 @@
     void return_to_pool()
     {
         idle_since_ = uptime();
-        request_ = {};
+        last_attempt_id_ = std::exchange(request_, {}).attempt_id;
         auto& idle = pool_->idle[address_];
         if (idle.size() >= pool_->options.idle_connections_max)
             return close();
@@ -430,6 +435,7 @@
     std::string buffer_;
     std::optional<answer_parser> parser_;
     outgoing_request request_;
+    std::string last_attempt_id_;
     std::shared_ptr<response_callbacks> callbacks_;
     answer_metadata facts_;
     duration idle_timeout_{};
@@ -476,7 +482,9 @@
         const duration usable = last->usable_until() - last->idle_since();
         const time_point until =
             last->idle_since() + (request.at_most_once ? usable / 2 : usable);
-        if (now >= until)
+        // A late copy of the answer before could not be told from the answer to
+        // a request with the same id, or to another one without an id.
+        if (now >= until || last->last_attempt_id() == request.attempt_id)
         {
             last->close();
             continue;
--- a/tests/gateway/cut_answer_test.cpp
+++ b/tests/gateway/cut_answer_test.cpp
@@ -409,3 +409,60 @@
         CHECK(upstream->requests.size() == 2);
     }
 }
+
+TEST_CASE("a late copy of an answer does not reach the next caller")
+{
+    entry_fixture entry;
+    const auto upstream = entry.add_upstream("u1", "desk");
+    const auto without_id = [](std::string text)
+    {
+        const std::size_t at = text.find("Attempt: ");
+        return text.erase(at, text.find("\r\n", at) + 2 - at);
+    };
+    std::string first = closing_request("POST", "/lookup/1");
+    std::string second = closing_request("POST", "/lookup/2", 2);
+    std::string copy = answer(200, "first");
+    std::string own = answer(200, "mine", 2);
+    std::string body = "mine";
+
+    SECTION("between requests that have ids") {}
+    SECTION("between requests that have none")
+    {
+        first = without_id(first);
+        second = without_id(second);
+        copy = without_id(copy);
+        own = without_id(own);
+    }
+    SECTION("between requests that have the same id")
+    {
+        second = closing_request("POST", "/lookup/2");
+        own = answer(200, "mine");
+    }
+    SECTION("where the next one is HEAD")
+    {
+        second = closing_request("HEAD", "/lookup/2", 2);
+        own =
+            "HTTP/1.1 200 X\r\nSigned: yes\r\nAttempt: 2\r\nOwn: mine\r\n\r\n";
+        body = "Own: mine";
+    }
+    SECTION("where the earlier one is HEAD")
+    {
+        first = closing_request("HEAD", "/lookup/1");
+        copy = "HTTP/1.1 200 X\r\nSigned: yes\r\nAttempt: 1\r\n"
+               "Content-Length: 5\r\n\r\n";
+    }
+    upstream->scripts = {copy, copy + own + "<cut>"};
+    // The copy comes on the connection of the request that it answers.
+    upstream->on_request = [&]
+    {
+        if (upstream->connections == 2)
+            upstream->scripts = {own};
+    };
+    send_until_closed(entry, first);
+    REQUIRE(upstream->requests.size() == 1);
+    const std::string received = send_until_closed(entry, second);
+    REQUIRE(upstream->requests.size() == 2);
+    CHECK(
+        (contains(received, body) || received.substr(0, 12) == "HTTP/1.1 502"));
+    CHECK_FALSE(contains(received, "first"));
+}
