--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -114,6 +114,11 @@
     {
         return address_;
     }
+    /// Of the request before.
+    const std::string& last_attempt_id() const
+    {
+        return last_attempt_id_;
+    }
     time_point idle_since() const
     {
         return idle_since_;
@@ -204,6 +209,7 @@
                 // An answer that the upstream sent before it closed the
                 // connection can still be read.
                 self->close_after_answer_ = true;
+                self->write_error_ = error;
             });
     }
 
@@ -237,6 +243,10 @@
 
     void on_end_of_input(boost_error error)
     {
+        // A write that fails clears the socket's error, so that a reset looks
+        // like an end here. A broken pipe means that the end came before it.
+        if (write_error_ && write_error_ != asio::error::broken_pipe)
+            error = write_error_;
         if (error == asio::error::eof && parser_->has_header &&
             !parser_->is_done())
         {
@@ -318,6 +328,11 @@
         if (!head_delivered_)
         {
             head_delivered_ = true;
+            if (const char* fault = find_head_fault(*parser_))
+            {
+                fail(failure_kind::malformed, fault);
+                return false;
+            }
             facts_ = pool_->codec.read_answer(parser_->status, parser_->fields);
             close_after_answer_ = close_after_answer_ || facts_.closes;
             if (facts_.idle_time)
@@ -379,7 +394,7 @@
     void return_to_pool()
     {
         idle_since_ = uptime();
-        request_ = {};
+        last_attempt_id_ = std::exchange(request_, {}).attempt_id;
         auto& idle = pool_->idle[address_];
         if (idle.size() >= pool_->options.idle_connections_max)
             return close();
@@ -420,10 +435,12 @@
     std::string buffer_;
     std::optional<answer_parser> parser_;
     outgoing_request request_;
+    std::string last_attempt_id_;
     std::shared_ptr<response_callbacks> callbacks_;
     answer_metadata facts_;
     duration idle_timeout_{};
     time_point idle_since_;
+    boost_error write_error_;
     bool connected_ = false;
     bool reused_ = false;
     bool busy_ = false;
@@ -465,7 +482,9 @@
         const duration usable = last->usable_until() - last->idle_since();
         const time_point until =
             last->idle_since() + (request.at_most_once ? usable / 2 : usable);
-        if (now >= until)
+        // A late copy of the answer before could not be told from the answer to
+        // a request with the same id, or to another one without an id.
+        if (now >= until || last->last_attempt_id() == request.attempt_id)
         {
             last->close();
             continue;
