Tests: an interim answer or an unknown coding without end is given up

Two more kinds of bytes without end: a header line of an interim answer, and a body in an unknown transfer coding.

--- a/tests/gateway/endless_answer_test.cpp
+++ b/tests/gateway/endless_answer_test.cpp
@@ -113,6 +113,18 @@
         upstream->scripts = {
             repeated("HTTP/1.1 102 Processing\r\n\r\n", endless) + "<wait>"};
     }
+    SECTION("a header line of an interim answer without end")
+    {
+        upstream->scripts = {
+            "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 X\r\nLink: " +
+            repeated("x", endless) + "<wait>"};
+    }
+    SECTION("an unknown transfer coding without end")
+    {
+        upstream->scripts = {
+            head + "Transfer-Encoding: gzip\r\n\r\n" + repeated("x", endless) +
+            "<wait>"};
+    }
     SECTION("bytes that are no answer")
     {
         upstream->scripts = {repeated("\x01\x02", endless) + "<wait>"};
