A resumed stream does not repeat an event that has no id

What a caller saw: an event with data and no id twice, where the upstream broke off after it and another one went on with the stream.

Cause: a stream is resumed after the last id that was forwarded. Events without an id that follow it lie beyond that point, so the next upstream sends them again.

A stream whose last event with data has no id is cut instead of resumed; its caller decides. Comments and other blocks without data, which clients ignore, do not count.

Evidence: two of four sections of the new test failed before: the second upstream was asked and the stream ended as complete with the event twice.

--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -51,6 +51,15 @@
     return std::nullopt;
 }
 
+/// Whether the event has a line of data. Clients ignore blocks without one, as
+/// comments that keep a connection alive.
+bool has_data(std::string_view event)
+{
+    constexpr std::string_view name = "data";
+    return event.substr(0, name.size()) == name ||
+           event.find("\ndata") != std::string_view::npos;
+}
+
 } // namespace
 
 std::string split_events(event_splitter& splitter, std::string_view bytes)
@@ -61,12 +70,16 @@
          end != std::string_view::npos;
          end = end_of_event(rest, 0))
     {
-        if (const auto id = id_of(rest.substr(0, end)))
+        const std::string_view event = rest.substr(0, end);
+        if (const auto id = id_of(event))
         {
             splitter.went_back = splitter.went_back ||
                                  (splitter.last_id && *id <= *splitter.last_id);
             splitter.last_id = id;
+            splitter.ends_without_id = false;
         }
+        else if (has_data(event))
+            splitter.ends_without_id = true;
         ++splitter.events;
         rest.remove_prefix(end);
     }
--- a/src/gateway/event_splitter.hpp
+++ b/src/gateway/event_splitter.hpp
@@ -19,6 +19,9 @@
     /// Id of the last complete event that had an id.
     std::optional<std::uint64_t> last_id;
     std::uint64_t events = 0;
+    /// The last complete event with data has no id; a stream that goes on after
+    /// `last_id` would repeat it.
+    bool ends_without_id = false;
     /// An event had an id that is not above the one before it.
     bool went_back = false;
 };
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -86,7 +86,7 @@
             outcome,
             may_have_run_before,
             head_forwarded,
-            events.last_id.has_value(),
+            events.last_id.has_value() && !events.ends_without_id,
             attempts,
             route->attempts_max,
             failed_connects,
--- a/src/gateway/retry_decision.hpp
+++ b/src/gateway/retry_decision.hpp
@@ -67,7 +67,7 @@
     bool may_have_run_before = false;
     /// The head of the answer was forwarded to the caller.
     bool head_forwarded = false;
-    /// An event with an id was forwarded to the caller.
+    /// The last event that was forwarded to the caller has an id.
     bool events_forwarded = false;
     /// Attempts that connected to an upstream, including this one.
     std::uint32_t attempts = 0;
--- a/tests/gateway/cut_answer_test.cpp
+++ b/tests/gateway/cut_answer_test.cpp
@@ -466,3 +466,42 @@
         (contains(received, body) || received.substr(0, 12) == "HTTP/1.1 502"));
     CHECK_FALSE(contains(received, "first"));
 }
+
+// The next upstream goes on after the last id, so it sends that event again.
+TEST_CASE("a stream does not go on after an event without an id")
+{
+    entry_fixture entry;
+    const auto first = entry.add_upstream("u1", "llm");
+    const auto second = entry.add_upstream("u2", "llm");
+    std::string last;
+    bool resumes = false;
+    SECTION("with data")
+    {
+        last = "data: y\n\n";
+    }
+    SECTION("with a type and data")
+    {
+        last = "event: y\r\ndata: y\r\n\r\n";
+    }
+    SECTION("but after one without data, which clients ignore")
+    {
+        last = "event: y\n\n";
+        resumes = true;
+    }
+    SECTION("but after a comment")
+    {
+        last = ": y\n\n";
+        resumes = true;
+    }
+    std::string chunk;
+    append_chunk(chunk, last);
+    first->scripts = {stream_head() + event(1) + chunk + "<cut>"};
+    second->scripts = {stream_head() + chunk + event(2) + "0\r\n\r\n"};
+    const std::string received =
+        send_until_closed(entry, closing_request("POST", "/chat/1"));
+    REQUIRE(first->requests.size() == 1);
+    CHECK(second->requests.size() == (resumes ? 1 : 0));
+    CHECK(contains(received, "id: 1\n"));
+    CHECK(contains(received, "id: 2\n") == resumes);
+    CHECK(contains(received, "\r\n0\r\n\r\n") == resumes);
+}
