LOST: open requests get a final answer before a stopped entry ends

Callers whose requests were still at work near the end of the grace time of a stopped entry saw their connections close without an answer, also for requests that must not run twice. The entry takes requests for 0.36 of the grace time and ended 300 ms before it is over whatever was still open.

Streams that have begun go on until the process ends. A grace time that is read again during a stop does not move its steps.

--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -6,9 +6,11 @@
 #include "daemon/peers_duty.hpp"
 #include "gateway/caller_server.hpp"
 #include "gateway/control_link.hpp"
+#include "gateway/drain_schedule.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <memory>
@@ -28,11 +30,6 @@
 constexpr duration tick_interval = 100ms;
 /// Time between two checks for new settings without a signal.
 constexpr duration settings_interval = 3s;
-/// Fraction of the grace time during which a draining entry still accepts
-/// requests, since callers cache the addresses of entries for a while.
-constexpr double accepting_fraction = 0.36;
-/// A draining entry ends by itself this long before the grace time is over.
-constexpr duration shutdown_margin = 300ms;
 
 class entry_process
 {
@@ -49,7 +46,8 @@
     void schedule();
     void on_signal();
     void drain();
-    void check_drain_progress();
+    void check_drain_progress(time_point now);
+    duration time_to_next_tick(time_point now) const;
     void reload();
     std::string metrics() const;
 
@@ -71,7 +69,9 @@
     std::unique_ptr<http_server> metrics_;
     time_point reload_at_;
     std::optional<time_point> draining_since_;
+    drain_schedule drain_steps_;
     bool stopped_accepting_ = false;
+    bool ended_requests_ = false;
 };
 
 relay_options relay_settings(const entry_settings& settings)
@@ -242,6 +242,7 @@
         return;
     const time_point now = uptime();
     draining_since_ = now;
+    drain_steps_ = schedule_drain(settings_.grace);
     log_.write(
         log_line(decision::process_stopping)
             .with("reason", "signal")
@@ -250,24 +251,43 @@
         now);
     link_.drain(now);
     callers_.close_after_answers();
+    // The next step may be due before the next regular tick.
+    schedule();
 }
 
-void entry_process::check_drain_progress()
+void entry_process::check_drain_progress(time_point now)
 {
-    const duration passed = uptime() - *draining_since_;
-    if (!stopped_accepting_ &&
-        passed > from_seconds(to_seconds(settings_.grace) * accepting_fraction))
+    const duration passed = now - *draining_since_;
+    if (!stopped_accepting_ && passed >= drain_steps_.accepting)
     {
         stopped_accepting_ = true;
         relay_.reject_new_requests();
         callers_.stop_accepting();
     }
-    const bool is_out_of_time = passed > settings_.grace - shutdown_margin;
-    if (is_out_of_time || (stopped_accepting_ && relay_.in_flight() == 0 &&
-                           callers_.is_drained()))
+    if (!ended_requests_ && passed >= drain_steps_.answering)
+    {
+        ended_requests_ = true;
+        relay_.end_requests();
+    }
+    if (passed >= drain_steps_.ending ||
+        (stopped_accepting_ && relay_.in_flight() == 0 &&
+         callers_.is_drained()))
         loop_.stop();
 }
 
+duration entry_process::time_to_next_tick(time_point now) const
+{
+    duration wait = tick_interval;
+    if (draining_since_)
+        for (const duration step :
+             {drain_steps_.accepting,
+              drain_steps_.answering,
+              drain_steps_.ending})
+            if (const duration left = *draining_since_ + step - now; left > 0s)
+                wait = std::min(wait, left);
+    return wait;
+}
+
 void entry_process::tick()
 {
     const time_point now = uptime();
@@ -275,7 +295,7 @@
     relay_.tick();
     callers_.tick();
     if (draining_since_)
-        check_drain_progress();
+        check_drain_progress(now);
     if (now >= reload_at_)
         reload();
     schedule();
@@ -283,7 +303,7 @@
 
 void entry_process::schedule()
 {
-    timer_.expires_after(tick_interval);
+    timer_.expires_after(time_to_next_tick(uptime()));
     timer_.async_wait(
         [this](const boost::system::error_code& error)
         {
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -61,7 +61,11 @@
 {
     const time_point now = uptime();
     if (rejects_new_requests_)
-        return reject(req, error_kind::draining, "this entry shuts down", 50ms);
+        return reject(
+            req,
+            error_kind::draining,
+            "this entry shuts down",
+            drain_retry_after);
     // With a site that may be outdated, an entry cannot tell which routes and
     // accounts exist.
     const bool valid = now < view_.site_valid_until;
@@ -426,11 +430,6 @@
     finish(req);
 }
 
-void relay::reject_new_requests()
-{
-    rejects_new_requests_ = true;
-}
-
 void relay::on_upstreams_changed()
 {
     for (const std::string& address : sync_upstreams(view_, uptime()))
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -126,6 +126,10 @@
     /// Rejects new requests from now on.
     void reject_new_requests();
 
+    /// Gives each request whose answer has not begun its final answer, before
+    /// the process ends.
+    void end_requests();
+
     /// Updates the upstreams from the directory and dispatches waiting
     /// requests.
     void on_upstreams_changed();
@@ -252,6 +256,7 @@
     void stop_waiting_for_grants(time_point now);
     void enqueue(const request_ptr& req);
     void dequeue(const request_ptr& req);
+    void end_unsent_requests();
     void dispatch_waiting(const service_name& service);
     void arm_timer();
     void on_timer();
--- /dev/null
+++ b/src/gateway/relay_drain.cpp
@@ -0,0 +1,60 @@
+// The part of the relay that ends requests when the process is stopped.
+#include "base/clock.hpp"
+#include "gateway/relay_request.hpp"
+
+#include <utility>
+#include <vector>
+
+namespace bergamotusher::gateway
+{
+
+namespace
+{
+
+constexpr const char* reason = "this entry shuts down";
+
+} // namespace
+
+void relay::reject_new_requests()
+{
+    rejects_new_requests_ = true;
+}
+
+void relay::end_requests()
+{
+    reject_new_requests();
+    // First, so that none of them is sent to an upstream that becomes free.
+    end_unsent_requests();
+    std::vector<request_ptr> unanswered;
+    for (const auto& [number, req] : requests_)
+        if (!req->head_forwarded)
+            unanswered.push_back(req);
+    for (const request_ptr& req : unanswered)
+    {
+        pool_.cancel(req->ticket);
+        record_unanswered(req);
+        release_upstream(req);
+        fail(req, error_kind::deadline_passed, reason);
+    }
+}
+
+void relay::end_unsent_requests()
+{
+    std::vector<request_ptr> unsent;
+    for (const auto& [number, req] : requests_)
+        if (req->upstream.empty() && !req->head_forwarded)
+            unsent.push_back(req);
+    waiting_for_site_.clear();
+    waiting_for_grant_.clear();
+    for (const request_ptr& req : unsent)
+    {
+        if (req->is_waiting)
+            dequeue(req);
+        if (req->may_have_run_before)
+            fail(req, error_kind::deadline_passed, reason);
+        else
+            reject(req, error_kind::draining, reason, drain_retry_after);
+    }
+}
+
+} // namespace bergamotusher::gateway
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -10,6 +10,9 @@
 /// An upstream that sent this many events of a stream was not crashed by its
 /// request.
 constexpr std::uint64_t sound_events = 2;
+/// The retry delay given to callers of an entry that drains: other entries
+/// serve.
+constexpr duration drain_retry_after = 50ms;
 
 struct relay::request
 {
--- /dev/null
+++ b/tests/gateway/planned_stop_test.cpp
@@ -0,0 +1,130 @@
+// What callers see when the entry that holds their requests is stopped.
+#include "base/clock.hpp"
+#include "gateway/relay_fixture.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+
+using namespace relay_fixture;
+
+namespace
+{
+
+/// A connection to the entry that collects what it receives.
+struct test_caller
+{
+    explicit test_caller(entry_fixture& entry) : socket(entry.loop)
+    {
+        socket.connect({boost::asio::ip::address_v4::loopback(), entry.port});
+        read();
+    }
+
+    void send(const std::string& text)
+    {
+        boost::asio::write(socket, boost::asio::buffer(text));
+    }
+
+    void read()
+    {
+        socket.async_read_some(
+            boost::asio::buffer(chunk),
+            [this](const boost::system::error_code& error, std::size_t size)
+            {
+                received.append(chunk.data(), size);
+                if (!error)
+                    return read();
+                closed = true;
+                boost::system::error_code ignored;
+                socket.close(ignored);
+            });
+    }
+
+    bool has(const std::string& text) const
+    {
+        return received.find(text) != std::string::npos;
+    }
+
+    boost::asio::ip::tcp::socket socket;
+    std::array<char, 65536> chunk{};
+    std::string received;
+    bool closed = false;
+};
+
+} // namespace
+
+TEST_CASE("a request at work when its entry ends is answered that it may have "
+          "run, not cut")
+{
+    entry_fixture entry;
+    const auto upstream = entry.add_upstream("u1", "desk");
+    upstream->scripts = {"<wait>"};
+    test_caller caller(entry);
+    caller.send(request("POST", "/order/1"));
+    REQUIRE(entry.run_until([&] { return upstream->requests.size() == 1; }));
+    entry.callers->close_after_answers();
+    entry.requests->reject_new_requests();
+    entry.callers->stop_accepting();
+    entry.requests->end_requests();
+    CHECK(entry.run_until([&] { return caller.closed; }));
+    CHECK(caller.has("HTTP/1.1 504"));
+    CHECK(caller.has("Attempt: 1"));
+    CHECK(entry.run_until([&] { return entry.callers->is_drained(); }));
+}
+
+TEST_CASE("a request that was never sent when its entry ends is answered that "
+          "it did not run, not cut")
+{
+    entry_fixture entry;
+    const auto upstream = entry.add_upstream("u1", "desk");
+    test_caller caller(entry);
+
+    SECTION("while it waits for an upstream")
+    {
+        upstream->scripts = std::vector<std::string>(8, "<wait>");
+        std::vector<std::unique_ptr<test_caller>> others;
+        while (others.size() < 8)
+        {
+            others.push_back(std::make_unique<test_caller>(entry));
+            others.back()->send(request("POST", "/order/1"));
+        }
+        entry.run_until([&] { return upstream->requests.size() >= 8; }, 300ms);
+        const std::size_t sent = upstream->requests.size();
+        caller.send(request("POST", "/order/2", 2));
+        REQUIRE(entry.run_until(
+            [&] { return entry.requests->counters().received == 9; }));
+        REQUIRE(entry.view.services[{"desk"}].waiting > 0);
+        entry.requests->end_requests();
+        CHECK(entry.run_until([&] { return caller.has("Retry-After"); }));
+        CHECK(upstream->requests.size() == sent);
+    }
+    SECTION("while it waits for a site")
+    {
+        entry.view.site_valid_until = uptime() - 1s;
+        caller.send(request("POST", "/order/1"));
+        REQUIRE(
+            entry.run_until([&] { return entry.requests->in_flight() == 1; }));
+        entry.requests->end_requests();
+        CHECK(entry.run_until([&] { return caller.has("Retry-After"); }));
+        CHECK(upstream->requests.empty());
+    }
+    CHECK(caller.has("HTTP/1.1 503"));
+    CHECK(entry.requests->in_flight() == 0);
+}
+
+TEST_CASE("a stream that has begun is not ended before its entry ends")
+{
+    entry_fixture entry;
+    const auto upstream = entry.add_upstream("u1", "llm");
+    upstream->scripts = {stream_head() + event(1) + "<wait>"};
+    test_caller caller(entry);
+    caller.send(request("POST", "/chat/1"));
+    REQUIRE(entry.run_until([&] { return caller.has("id: 1"); }));
+    entry.requests->end_requests();
+    CHECK_FALSE(entry.run_until([&] { return caller.closed; }, 100ms));
+    entry.callers.reset();
+    CHECK(entry.run_until([&] { return caller.closed; }));
+    CHECK_FALSE(caller.has("0\r\n\r\n"));
+}
--- a/tests/soak/test_cluster.cpp
+++ b/tests/soak/test_cluster.cpp
@@ -325,6 +325,11 @@
     return plan.advertised(index, frontend_port);
 }
 
+std::string test_cluster::entry_address(unsigned index) const
+{
+    return plan.listening(index, frontend_port);
+}
+
 bool test_cluster::is_ready(unsigned index) const
 {
     return send_once(
--- a/tests/soak/test_cluster.hpp
+++ b/tests/soak/test_cluster.hpp
@@ -110,6 +110,8 @@
     /// upstreams and lookups of entries.
     std::string control_address(unsigned index) const;
     std::string frontend_address(unsigned index) const;
+    /// The address on which the entry itself accepts callers, without its link.
+    std::string entry_address(unsigned index) const;
     bool is_ready(unsigned index) const;
 
     const cluster_shape shape;
--- a/tests/soak/upstream_set.cpp
+++ b/tests/soak/upstream_set.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdio>
 #include <functional>
+#include <optional>
 #include <utility>
 
 namespace soak
@@ -31,6 +32,16 @@
     return false;
 }
 
+/// The work time that the path states.
+std::optional<std::chrono::milliseconds> stated_work(const std::string& path)
+{
+    const auto found = path.find(work_time_suffix);
+    if (found == std::string::npos)
+        return {};
+    return std::chrono::milliseconds(
+        std::stoi(path.substr(found + std::string(work_time_suffix).size())));
+}
+
 std::string response_head(int status, const std::string& attempt)
 {
     return "HTTP/1.1 " + std::to_string(status) +
@@ -140,14 +151,19 @@
             on_other_execution_(execution);
         else
             history_.record_execution(execution);
-        if (execution.path.find(slow_path) == 0)
+        const bool is_stream = request.target().find("/chat/") == 0;
+        const auto stated = stated_work(execution.path);
+        if (stated)
+            std::this_thread::sleep_for(
+                is_stream ? std::chrono::milliseconds(0) : *stated);
+        else if (execution.path.find(slow_path) == 0)
             std::this_thread::sleep_for(slow_work);
         else
             std::this_thread::sleep_for(std::chrono::milliseconds(
                 std::hash<std::string>{}(attempt) % max_work_ms));
         const std::string head = response_head(200, attempt) +
                                  "Bergamotusher-Server-Seal: s-" + id + "\r\n";
-        if (request.target().find("/chat/") != 0)
+        if (!is_stream)
         {
             const std::string body = answer_body(request_kind::order, attempt);
             write(
@@ -168,7 +184,8 @@
             std::snprintf(size, sizeof size, "%zx\r\n", text.size());
             if (!write(size + text + "\r\n"))
                 return;
-            std::this_thread::sleep_for(event_interval);
+            std::this_thread::sleep_for(
+                stated ? *stated / chat_event_count : event_interval);
         }
         write("0\r\n\r\n");
     };
--- a/tests/soak/upstream_set.hpp
+++ b/tests/soak/upstream_set.hpp
@@ -21,6 +21,9 @@
 inline constexpr unsigned upstream_count = 6;
 /// Upstreams take several seconds for requests below this path.
 inline constexpr const char* slow_path = "/slow/";
+/// A request whose path ends in this and a number takes that many milliseconds;
+/// those of a stream are spread over its events.
+inline constexpr const char* work_time_suffix = "?work-ms=";
 
 class upstream_set
 {
