LOST: an answer still being read is not cut as an idle connection

A caller that read a large answer slowly when an entry was stopped got only its first part: when the draining entry closed idle connections, a kept connection counted as idle as soon as the relay had handed over the answer, also with bytes of it unsent in the process.

Now such a connection is closed once the answer was sent to its end.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -137,9 +137,13 @@
         return owner_->close_after_answer || !keep_alive_;
     }
 
-    bool is_idle() const
+    /// Closes the connection unless a request is in progress; if the last
+    /// answer is not sent to its end, then after that.
+    void close_if_idle()
     {
-        return !answering_ && !request_started_;
+        leaving_ = true;
+        if (!writing_ && is_idle())
+            close();
     }
 
     /// Closes the connection if the caller exceeds a time limit.
@@ -177,6 +181,11 @@
     }
 
 private:
+    bool is_idle() const
+    {
+        return !answering_ && !request_started_;
+    }
+
     void prepare_next_request()
     {
         const site::caller_limits limits = owner_->limits();
@@ -324,7 +333,7 @@
             return close();
         if (!unsent_.empty())
             return write();
-        if (closing_ && !answering_)
+        if ((closing_ && !answering_) || (leaving_ && is_idle()))
             close_gracefully();
     }
 
@@ -359,6 +368,8 @@
     bool writing_ = false;
     bool keep_alive_ = true;
     bool closing_ = false;
+    /// The connection is to be closed once it is idle.
+    bool leaving_ = false;
     bool half_closed_ = false;
     bool closed_ = false;
     bool continue_sent_ = false;
@@ -422,8 +433,7 @@
     state_->close_after_answer = true;
     const std::set<std::shared_ptr<session>> all = state_->sessions;
     for (const auto& each : all)
-        if (each->is_idle())
-            each->close();
+        each->close_if_idle();
 }
 
 bool caller_server::is_drained() const
--- a/tests/gateway/planned_stop_test.cpp
+++ b/tests/gateway/planned_stop_test.cpp
@@ -21,6 +21,11 @@
         socket.connect({boost::asio::ip::address_v4::loopback(), entry.port});
         read();
     }
+    explicit test_caller(boost::asio::ip::tcp::socket connected)
+        : socket(std::move(connected))
+    {
+        read();
+    }
 
     void send(const std::string& text)
     {
@@ -128,3 +133,25 @@
     CHECK(entry.run_until([&] { return caller.closed; }));
     CHECK_FALSE(caller.has("0\r\n\r\n"));
 }
+
+TEST_CASE("an answer that its caller still reads is not cut when the entry "
+          "closes idle connections")
+{
+    entry_fixture entry;
+    const auto upstream = entry.add_upstream("u1", "desk");
+    // More than the socket buffers hold.
+    const std::string large(std::size_t{3} << 20, 'x');
+    upstream->scripts = {answer(200, large)};
+    boost::asio::ip::tcp::socket socket(entry.loop);
+    socket.connect({boost::asio::ip::address_v4::loopback(), entry.port});
+    boost::asio::write(
+        socket, boost::asio::buffer(request("POST", "/order/1")));
+    REQUIRE(entry.run_until(
+        [&] { return entry.requests->counters().answered == 1; }));
+    entry.callers->close_after_answers();
+    entry.callers->stop_accepting();
+    test_caller caller(std::move(socket));
+    CHECK(entry.run_until([&] { return caller.closed; }));
+    CHECK(caller.received.size() > large.size());
+    CHECK(entry.run_until([&] { return entry.callers->is_drained(); }));
+}
