A request that has arrived is answered when a stopped entry closes connections

A caller whose request had reached a draining entry, on a kept connection or on one that was not accepted yet, could see the connection reset when the entry closed its listener and its idle connections, instead of a refusal that tells it to go elsewhere. Bytes that the event loop had read already, or a request that followed the previous one at once, were dropped, too.

The new test sends a request just before the close, on a connection of each kind; before, neither got an answer. Now waiting connections are accepted before the listener closes, and an idle connection is closed only after its pending read was cancelled, which still delivers what was read, and if nothing is left to read. The request is refused with 503 and Retry-After.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -50,6 +50,9 @@
     }
 
     void accept();
+    /// Accepts the connections that callers have opened already.
+    void accept_waiting();
+    void serve(tcp::socket socket);
 
     asio::io_context& loop;
     relay& requests;
@@ -137,13 +140,16 @@
         return owner_->close_after_answer || !keep_alive_;
     }
 
-    /// Closes the connection unless a request is in progress; if the last
-    /// answer is not sent to its end, then after that.
+    /// Closes the connection unless a request is in progress or has arrived;
+    /// if the last answer is not sent to its end, then after that.
     void close_if_idle()
     {
         leaving_ = true;
-        if (!writing_ && is_idle())
-            close();
+        if (closed_ || writing_ || !is_idle() || !buffer_.empty())
+            return;
+        // Bytes that were read already are still passed to `on_read`.
+        boost_error ignored;
+        socket_.cancel(ignored);
     }
 
     /// Closes the connection if the caller exceeds a time limit.
@@ -211,6 +217,9 @@
         reading_ = false;
         if (closed_)
             return;
+        if (error == asio::error::operation_aborted && leaving_ &&
+            has_unread_bytes())
+            return read();
         if (error)
             return close();
         buffer_.append(chunk_.data(), size);
@@ -220,6 +229,12 @@
             read();
     }
 
+    bool has_unread_bytes() const
+    {
+        boost_error ignored;
+        return socket_.available(ignored) > 0;
+    }
+
     void parse()
     {
         if (buffer_.empty())
@@ -380,21 +395,40 @@
     acceptor.async_accept(
         [self = shared_from_this()](boost_error error, tcp::socket socket)
         {
-            if (!self->acceptor.is_open())
-                return;
-            if (!error && self->counters.open < self->options.connections_max)
-            {
-                ++self->counters.accepted;
-                ++self->counters.open;
-                auto created =
-                    std::make_shared<session>(std::move(socket), self);
-                self->sessions.insert(created);
-                created->start();
-            }
-            self->accept();
+            if (!error)
+                self->serve(std::move(socket));
+            if (self->acceptor.is_open())
+                self->accept();
         });
 }
 
+void caller_server::state::serve(tcp::socket socket)
+{
+    if (counters.open >= options.connections_max)
+        return;
+    ++counters.accepted;
+    ++counters.open;
+    const auto created =
+        std::make_shared<session>(std::move(socket), shared_from_this());
+    sessions.insert(created);
+    created->start();
+    if (!acceptor.is_open())
+        created->close_if_idle();
+}
+
+void caller_server::state::accept_waiting()
+{
+    boost_error error;
+    acceptor.non_blocking(true, error);
+    for (int count = 0; !error && count <= options.backlog; ++count)
+    {
+        tcp::socket socket(loop);
+        acceptor.accept(socket, error);
+        if (!error)
+            serve(std::move(socket));
+    }
+}
+
 caller_server::caller_server(
     asio::io_context& loop,
     relay& requests,
@@ -428,9 +462,10 @@
 
 void caller_server::stop_accepting()
 {
+    state_->close_after_answer = true;
+    state_->accept_waiting();
     boost_error ignored;
     state_->acceptor.close(ignored);
-    state_->close_after_answer = true;
     const std::set<std::shared_ptr<session>> all = state_->sessions;
     for (const auto& each : all)
         each->close_if_idle();
--- a/tests/gateway/planned_stop_test.cpp
+++ b/tests/gateway/planned_stop_test.cpp
@@ -155,3 +155,27 @@
     CHECK(caller.received.size() > large.size());
     CHECK(entry.run_until([&] { return entry.callers->is_drained(); }));
 }
+
+TEST_CASE("a request that has arrived is answered when the entry closes idle "
+          "connections")
+{
+    entry_fixture entry;
+    const auto upstream = entry.add_upstream("u1", "desk");
+    test_caller caller(entry);
+
+    SECTION("on a connection that was used before")
+    {
+        upstream->scripts = {answer(200, "first")};
+        caller.send(request("POST", "/order/1"));
+        REQUIRE(entry.run_until([&] { return caller.has("first"); }));
+    }
+    SECTION("on a connection that was not accepted yet") {}
+    caller.send(request("POST", "/order/2", 2));
+    entry.requests->reject_new_requests();
+    entry.callers->stop_accepting();
+    CHECK(entry.run_until([&] { return caller.closed; }));
+    CHECK(caller.has("HTTP/1.1 503"));
+    CHECK(caller.has("Retry-After"));
+    CHECK(caller.has("Connection: close"));
+    CHECK(entry.run_until([&] { return entry.callers->is_drained(); }));
+}
