A request that may have run is not answered 503 while it waits to be sent again

Callers of a repeatable request could be told with 503 that it did not run although an upstream had received it: after a lost answer the request waits for another upstream when all are full, and the end of its time, a full queue or the loss of the last upstream rejected it as one that was never sent.

In the new test an upstream cuts the connection of a request and the only other one is full; the caller got 503 at its timeout. The relay now fails a request that may have run (502) wherever it would reject it. Found while looking at what waiting requests are told when an entry is stopped.

--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -230,6 +230,7 @@
     void record_silence(const request_ptr& req);
     version_tally& tally(const request& req);
 
+    /// Fails the request instead if it may have run.
     void reject(
         const request_ptr& req,
         error_kind kind,
--- a/src/gateway/relay_answers.cpp
+++ b/src/gateway/relay_answers.cpp
@@ -423,6 +423,9 @@
     std::string_view reason,
     std::optional<duration> retry_after)
 {
+    // A rejection states that the request did not run.
+    if (req->may_have_run_before)
+        return fail(req, error_kind::upstream_failed, reason);
     const time_point now = uptime();
     ++counters_.rejected[kind];
     const bool may_retry_later =
--- a/tests/gateway/planned_stop_test.cpp
+++ b/tests/gateway/planned_stop_test.cpp
@@ -179,3 +179,22 @@
     CHECK(caller.has("Connection: close"));
     CHECK(entry.run_until([&] { return entry.callers->is_drained(); }));
 }
+
+TEST_CASE("a request that may have run is not answered as not run while it "
+          "waits to be sent again")
+{
+    entry_fixture entry;
+    const auto first = entry.add_upstream("u1", "desk");
+    first->scripts = {"<cut>"};
+    const auto full = entry.add_upstream("u2", "desk");
+    upstream_view& other = *entry.view.upstreams[{"u2"}];
+    other.own_running = other.value.slots;
+    const std::string text =
+        "GET /lookup/1 HTTP/1.1\r\nHost: shop.example\r\nKey: key-1\r\n"
+        "Attempt: 1\r\nPatience-Ms: 300\r\n\r\n";
+    const std::string received = entry.send_request(text);
+    CHECK(first->requests.size() == 1);
+    CHECK(full->requests.empty());
+    CHECK(received.find("HTTP/1.1 50") == 0);
+    CHECK(received.find("HTTP/1.1 503") == std::string::npos);
+}
