A stopping entry refuses at once what is not likely to end before it does

Callers whose requests an entry took after its stop signal waited for most of the grace time and then got 504, or an incomplete stream, although other entries would have served them.

The entry now knows how long the answers of each route take (mean and deviation as in TCP's retransmission timeout; the route's target before the first answer). A request that was never sent, and that neither its answer nor its deadline is likely to end before open requests are ended, gets 503 with a short Retry-After: on arrival, after a failed attempt that sent nothing, or while it waits for an upstream. Requests that end in time are still taken.

The run's lookups are short now, so that some requests are still taken.

--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -250,6 +250,7 @@
             .with("grace_ms", settings_.grace),
         now);
     link_.drain(now);
+    relay_.send_only_until(now + drain_steps_.answering);
     callers_.close_after_answers();
     // The next step may be due before the next regular tick.
     schedule();
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -61,11 +61,7 @@
 {
     const time_point now = uptime();
     if (rejects_new_requests_)
-        return reject(
-            req,
-            error_kind::draining,
-            "this entry shuts down",
-            drain_retry_after);
+        return reject_as_draining(req);
     // With a site that may be outdated, an entry cannot tell which routes and
     // accounts exist.
     const bool valid = now < view_.site_valid_until;
@@ -210,6 +206,8 @@
 {
     if (end_suspended(req))
         return;
+    if (is_too_late(*req, uptime()))
+        return reject_as_draining(req);
     const placement_choice choice = choose_upstream(req);
     if (choice.upstream != nullptr)
         return send(req, choice);
@@ -455,6 +453,7 @@
             record_lateness(
                 options_.placement, *found->second, late_ms, false, now);
     }
+    reject_late(now);
     for (auto& [service, waiting] : waiting_)
         dispatch_waiting(service);
     reject_unservable(now);
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "admission/shared_limit.hpp"
+#include "gateway/answer_time.hpp"
 #include "gateway/dialect.hpp"
 #include "gateway/entry_view.hpp"
 #include "gateway/event_splitter.hpp"
@@ -20,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -123,6 +125,10 @@
     /// Ends a request whose caller has closed its connection.
     void abandon(std::uint64_t number);
 
+    /// From now on requests that are not likely to be answered by `end` are
+    /// rejected instead of sent.
+    void send_only_until(time_point end);
+
     /// Rejects new requests from now on.
     void reject_new_requests();
 
@@ -258,6 +264,11 @@
     void enqueue(const request_ptr& req);
     void dequeue(const request_ptr& req);
     void end_unsent_requests();
+    /// Whether the process ends before the answer is likely to be complete.
+    bool is_too_late(const request& req, time_point now) const;
+    void reject_as_draining(const request_ptr& req);
+    /// Rejects the waiting requests for which it has become too late.
+    void reject_late(time_point now);
     void dispatch_waiting(const service_name& service);
     void arm_timer();
     void on_timer();
@@ -279,6 +290,10 @@
     time_point started_at_;
     std::uint64_t next_number_ = 1;
     bool rejects_new_requests_ = false;
+    /// Set while the process is being stopped.
+    std::optional<time_point> requests_end_at_;
+    /// By route.
+    std::map<std::string, answer_times> answer_times_;
     std::map<std::uint64_t, request_ptr> requests_;
     /// Numbers of the requests by deadline.
     std::multimap<time_point, std::uint64_t> deadlines_;
--- a/src/gateway/relay_answers.cpp
+++ b/src/gateway/relay_answers.cpp
@@ -136,6 +136,8 @@
 void relay::record_attempt_success(const request_ptr& req)
 {
     ++tally(*req).successes;
+    record_answer_time(
+        answer_times_[req->route->name], uptime() - req->sent_at);
     if (is_framed(req->fields) || req->events.events >= sound_events)
         note_answered(view_.crashes, crash_subjects_of(*req), uptime());
 }
--- a/tests/gateway/planned_stop_test.cpp
+++ b/tests/gateway/planned_stop_test.cpp
@@ -198,3 +198,45 @@
     CHECK(received.find("HTTP/1.1 50") == 0);
     CHECK(received.find("HTTP/1.1 503") == std::string::npos);
 }
+
+TEST_CASE("a request that would still be at work when its entry ends is "
+          "refused and not sent")
+{
+    entry_fixture entry;
+    const auto upstream = entry.add_upstream("u1", "desk");
+    test_caller caller(entry);
+    const std::string text = request("POST", "/order/1");
+
+    SECTION("at once, by the time that answers take")
+    {
+        // Answers are expected within 300 ms, the route's target.
+        entry.requests->send_only_until(uptime() + 200ms);
+        caller.send(text);
+    }
+    SECTION("once it has waited too long for an upstream")
+    {
+        upstream_view& full = *entry.view.upstreams[{"u1"}];
+        full.own_running = full.value.slots;
+        entry.requests->send_only_until(uptime() + 400ms);
+        caller.send(text);
+        REQUIRE(entry.run_until(
+            [&] { return entry.view.services[{"desk"}].waiting == 1; }));
+        entry.run_until([] { return false; }, 150ms);
+        entry.requests->tick();
+        CHECK(entry.view.services[{"desk"}].waiting == 0);
+    }
+    CHECK(entry.run_until([&] { return caller.has("Retry-After"); }));
+    CHECK(caller.has("HTTP/1.1 503"));
+    CHECK(upstream->requests.empty());
+}
+
+TEST_CASE("a request that is likely to end before its entry is still served")
+{
+    entry_fixture entry;
+    const auto upstream = entry.add_upstream("u1", "desk");
+    upstream->scripts = {answer(200, "taken")};
+    entry.requests->send_only_until(uptime() + 1s);
+    CHECK(
+        entry.send_request(request("POST", "/order/1")).find("taken") !=
+        std::string::npos);
+}
--- a/tests/soak/planned_stop_test.cpp
+++ b/tests/soak/planned_stop_test.cpp
@@ -29,6 +29,8 @@
 constexpr unsigned seed = 91;
 constexpr unsigned caller_count = 48;
 constexpr int max_work_ms = 4000;
+/// Short enough that entries take lookups until they stop accepting.
+constexpr int max_lookup_ms = 300;
 constexpr auto warm_up = milliseconds(2500);
 /// A connection that was closed without an answer must close this soon after
 /// its request was sent, if the request was not passed on.
@@ -108,8 +110,10 @@
     {
         outcome seen;
         seen.kind = static_cast<request_kind>(random() % 3);
+        const int max_ms =
+            seen.kind == request_kind::lookup ? max_lookup_ms : max_work_ms;
         seen.work_ms =
-            random() % 4 == 0 ? 0 : static_cast<int>(random() % max_work_ms);
+            random() % 4 == 0 ? 0 : static_cast<int>(random() % max_ms);
         const std::string attempt =
             "p" + std::to_string(index) + "-" + std::to_string(number);
         const http_request request =
