--- a/src/gateway/relay_answers.cpp
+++ b/src/gateway/relay_answers.cpp
@@ -145,6 +145,8 @@
 void relay::record_attempt_success(const request_ptr& req)
 {
     ++tally(*req).successes;
+    record_answer_time(
+        answer_times_[req->route->name], uptime() - req->sent_at);
     if (is_framed(req->fields) || req->events.events >= sound_events)
         note_answered(view_.crashes, crash_subjects_of(*req), uptime());
 }
@@ -434,6 +436,9 @@
     std::string_view reason,
     std::optional<duration> retry_after)
 {
+    // A rejection states that the request did not run.
+    if (req->may_have_run_before)
+        return fail(req, error_kind::upstream_failed, reason);
     const time_point now = uptime();
     ++counters_.rejected[kind];
     const bool may_retry_later =
