--- a/tests/harness/caller.cpp
+++ b/tests/harness/caller.cpp
@@ -99,7 +99,10 @@
     void read_body()
     {
         if (parser_.is_done())
+        {
+            answer_.complete = true;
             return finish();
+        }
         parser_.get().body().data = chunk_.data();
         parser_.get().body().size = chunk_.size();
         http::async_read_some(
@@ -197,6 +200,7 @@
     client_response& answer, client_response&& continuation)
 {
     answer.status = continuation.status;
+    answer.complete = continuation.complete;
     answer.done = continuation.done;
     answer.moved_to = continuation.moved_to;
     answer.error = continuation.error;
--- a/tests/harness/caller.hpp
+++ b/tests/harness/caller.hpp
@@ -18,6 +18,8 @@
     /// HTTP status; 0 if there was no connection or it broke before the header
     /// was complete.
     int status = 0;
+    /// Whether the end of the response was received, as its head frames it.
+    bool complete = false;
     std::map<std::string, std::string> headers;
     std::string body;
     /// Of a stream: the text of each event.
