An error waits until other entries know of the crashes behind it

A caller whose request had crashed two engines got its error, sent the request again at another entry at once, and it crashed a third engine.

Cause: the entry that judged the crashes sent its report to the others and the error to the caller in one step. The report was sent once and not acknowledged, so the retry could overtake it, and a lost report was never repaired.

A crash report is now acknowledged once its evidence is noted, from which time that entry lets the request wait for the judgement. The reporter repeats it after 50 ms, then at doubling pauses for 5 s, to the entries that were live when it was made. An error of a request with such a report is held back until all of them have acknowledged, at most 500 ms, so that a dead entry does not hold answers; answers of requests that succeed do not wait. A repeated report finds the death that the first one left, and is not counted again. An entry that drains sends a held error at once. Acknowledgements are asked for by a new field, so entries of the earlier build get no message that they do not know.

A request that is quarantined while it waits, and was never sent to an upstream by this entry, is now said not to have run; it was `unknown`.

Not covered: an entry that is cut off for longer than 5 s does not learn of the crash; one that acknowledges later than 500 ms can still be overtaken; a caller that hangs up before its answer is not held; and a request that fails before a death is judged, 1 s after it, is answered without waiting.

--- a/include/bergamotusher/serving.hpp
+++ b/include/bergamotusher/serving.hpp
@@ -171,6 +171,16 @@
     std::string fingerprint;
     upstream_id target;
     failure_domain domain;
+    /// The entry that waits for an acknowledgement; empty if there is none.
+    node_id reply_to{};
+};
+
+/// Another entry has noted this entry's report of a crash.
+struct crash_acknowledged
+{
+    node_id from;
+    std::string fingerprint;
+    upstream_id target;
 };
 
 /// This entry shuts down; `deadline` is when its instance is reclaimed, if
@@ -221,6 +231,7 @@
     upstream_leaves,
     upstream_gone,
     crash_reported,
+    crash_acknowledged,
     drain_started,
     request_handed_over,
     hand_over_answered,
@@ -339,12 +350,22 @@
     bool taken = false;
 };
 
-/// Tell all entries that an upstream crashed while it ran `fingerprint`.
+/// Tell other entries that an upstream crashed while it ran `fingerprint`.
 struct report_crash
 {
     std::string fingerprint;
     upstream_id target;
     failure_domain domain;
+    /// The entries to tell; empty for all others.
+    std::vector<node_id> to{};
+};
+
+/// Tell the entry that reported a crash that the report is noted.
+struct acknowledge_crash
+{
+    node_id to;
+    std::string fingerprint;
+    upstream_id target;
 };
 
 /// Result of an attempt; input to routing, upstream health and version moves.
@@ -385,6 +406,7 @@
     hand_over,
     hand_over_reply,
     report_crash,
+    acknowledge_crash,
     attempt_observed,
     record_event,
     drained>;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -293,6 +293,7 @@
           wire::hand_over,
           wire::hand_over_reply,
           wire::crash_report,
+          wire::crash_acknowledged,
           wire::budget_ask,
           wire::budget_grant})
         on_message(
--- a/src/daemon/entry_view.cpp
+++ b/src/daemon/entry_view.cpp
@@ -53,6 +53,15 @@
     return result;
 }
 
+std::vector<node_id> find_live_entries(const entry_view& view, time_point now)
+{
+    std::vector<node_id> result;
+    for (const auto& entry : entry_addresses(view, now))
+        if (entry.id != view.self && entry.alive)
+            result.push_back(entry.id);
+    return result;
+}
+
 std::vector<node_id> find_successors(const entry_view& view, time_point now)
 {
     std::vector<std::pair<std::uint32_t, node_id>> found;
--- a/src/daemon/entry_view.hpp
+++ b/src/daemon/entry_view.hpp
@@ -56,6 +56,9 @@
 std::vector<membership::entry_address>
 entry_addresses(const entry_view& view, time_point now);
 
+/// Returns the other live entries, draining ones too.
+std::vector<node_id> find_live_entries(const entry_view& view, time_point now);
+
 /// Returns the other live entries that are not draining, in ascending order of
 /// open requests.
 std::vector<node_id> find_successors(const entry_view& view, time_point now);
--- a/src/daemon/serving_actions.cpp
+++ b/src/daemon/serving_actions.cpp
@@ -43,6 +43,15 @@
     send_proposal(duty, propose(duty.journal, action, wall_now(), now()));
 }
 
+void send_crash_report(duty_state& duty, const report_crash& report)
+{
+    const std::string body = wire::encode(report);
+    if (report.to.empty())
+        return send_all_peers(duty, wire::crash_report, body);
+    for (const node_id& to : report.to)
+        send_peer(duty, to, wire::crash_report, body);
+}
+
 // Executes an action that sends a message to other entries. Returns false if
 // `action` is of another type.
 bool send_to_peers(duty_state& duty, const serving_action& action)
@@ -56,7 +65,10 @@
     else if (const auto* reply = std::get_if<hand_over_reply>(&action))
         send_peer(duty, reply->to, wire::hand_over_reply, wire::encode(*reply));
     else if (const auto* crash = std::get_if<report_crash>(&action))
-        send_all_peers(duty, wire::crash_report, wire::encode(*crash));
+        send_crash_report(duty, *crash);
+    else if (const auto* noted = std::get_if<acknowledge_crash>(&action))
+        send_peer(
+            duty, noted->to, wire::crash_acknowledged, wire::encode(*noted));
     else
         return false;
     return true;
@@ -119,9 +131,10 @@
         [&duty](const choice_request& request, time_point at)
         { return choose_upstream(duty.view, request, at); },
         wall_now(),
-        [](std::string_view body)
+        [](std::string_view body) { return routing::prefix_blocks(body); },
+        [&duty]
         {
-            return routing::prefix_blocks(body);
+            return find_live_entries(duty.entries, now());
         }};
     for (serving_action& action :
          serving::step(duty.requests, input, context, now()))
--- a/src/daemon/serving_reports.cpp
+++ b/src/daemon/serving_reports.cpp
@@ -184,7 +184,12 @@
         step_decoded(duty, wire::decode_hand_over_answered(message.body));
         break;
     case wire::crash_report:
-        step_decoded(duty, wire::decode_crash_reported(message.body));
+        step_decoded(
+            duty, wire::decode_crash_reported(message.body, message.from));
+        break;
+    case wire::crash_acknowledged:
+        step_decoded(
+            duty, wire::decode_crash_acknowledged(message.body, message.from));
         break;
     default:
         ++duty.malformed_messages;
--- a/src/serving/answers.cpp
+++ b/src/serving/answers.cpp
@@ -154,6 +154,46 @@
     return scope.state.options.limits.retry_after;
 }
 
+void end_with_error(
+    step_scope& scope,
+    request_state& request,
+    failure error,
+    std::optional<duration> retry_after)
+{
+    const bool never_started = request.attempts_started == 0;
+    ++(never_started ? scope.state.counters.refused
+                     : scope.state.counters.failed);
+    final_answer answer;
+    answer.run = claim_of(request);
+    answer.retry_after =
+        retry_after ? retry_after : default_retry_after(scope, error.kind);
+    if (error.kind == error_kind::outcome_unknown)
+        ++scope.state.counters.unknown_outcomes;
+    record(
+        scope,
+        never_started ? event_kind::request_refused
+                      : event_kind::request_failed,
+        {request.request.id, {}, {}},
+        std::string(error_answer_for(error.kind).name));
+    answer.error = std::move(error);
+    end_request(scope, request, std::move(answer));
+}
+
+void hold_error(
+    step_scope& scope,
+    request_state& request,
+    failure error,
+    std::optional<duration> retry_after)
+{
+    request.may_have_run = claim_of(request) == run_claim::unknown;
+    request.pending_offer.reset();
+    close_attempt(scope, request);
+    request.held = held_error{std::move(error), retry_after};
+    set_phase(scope, request, request_phase::failing);
+    request.retry_at = scope.now + acknowledgement_timeout;
+    reschedule(scope, request);
+}
+
 } // namespace
 
 void reject_request(
@@ -211,23 +251,26 @@
     failure error,
     std::optional<duration> retry_after)
 {
-    const bool never_started = request.attempts_started == 0;
-    ++(never_started ? scope.state.counters.refused
-                     : scope.state.counters.failed);
-    final_answer answer;
-    answer.run = claim_of(request);
-    answer.retry_after =
-        retry_after ? retry_after : default_retry_after(scope, error.kind);
-    if (error.kind == error_kind::outcome_unknown)
-        ++scope.state.counters.unknown_outcomes;
-    record(
-        scope,
-        never_started ? event_kind::request_refused
-                      : event_kind::request_failed,
-        {request.request.id, {}, {}},
-        std::string(error_answer_for(error.kind).name));
-    answer.error = std::move(error);
-    end_request(scope, request, std::move(answer));
+    // A process that stops soon may not be able to send a held error.
+    const bool may_hold = error.kind != error_kind::draining;
+    if (request.phase == request_phase::failing)
+    {
+        if (!may_hold)
+            send_held_error(scope, request);
+        return;
+    }
+    if (may_hold &&
+        awaits_acknowledgement(
+            scope.state.crash_reports, request.fingerprint, scope.now))
+        return hold_error(scope, request, std::move(error), retry_after);
+    end_with_error(scope, request, std::move(error), retry_after);
+}
+
+void send_held_error(step_scope& scope, request_state& request)
+{
+    held_error held = std::move(*request.held);
+    request.held.reset();
+    end_with_error(scope, request, std::move(held.error), held.retry_after);
 }
 
 void send_early_error(step_scope& scope, request_state& request, failure error)
--- a/src/serving/answers.hpp
+++ b/src/serving/answers.hpp
@@ -22,13 +22,18 @@
     step_scope& scope, request_state& request, final_answer answer);
 
 /// Ends the request with an error. Whether it may have run is derived from its
-/// state (`claim_of`).
+/// state (`claim_of`). The error is held back while other entries have not
+/// noted a crash report about the request: its client could overtake the report
+/// with a retry at one of them.
 void fail_request(
     step_scope& scope,
     request_state& request,
     failure error,
     std::optional<duration> retry_after = std::nullopt);
 
+/// Ends a request with the error that was held back.
+void send_held_error(step_scope& scope, request_state& request);
+
 /// Sends the client an error while the attempt continues until it ends.
 void send_early_error(step_scope& scope, request_state& request, failure error);
 
--- a/src/serving/life_cycle.cpp
+++ b/src/serving/life_cycle.cpp
@@ -160,6 +160,8 @@
 
     if (request.phase == request_phase::ended)
         return erase_request(scope, request);
+    if (request.phase == request_phase::failing)
+        return send_held_error(scope, request);
     if (request.deadline + extra_wait <= scope.now)
         return handle_deadline(scope, request);
     if (request.repeatable && request.disconnected_at &&
@@ -185,6 +187,8 @@
 {
     life_cycle& state = scope.state;
     judge_crashes(scope);
+    for (report_crash& repeated : due_repeats(state.crash_reports, scope.now))
+        scope.actions.emplace_back(std::move(repeated));
     std::vector<request_id> due;
     for (const auto& [at, id] : state.wake_queue)
     {
--- a/src/serving/life_cycle.hpp
+++ b/src/serving/life_cycle.hpp
@@ -6,6 +6,7 @@
 // carries the actions out in order and reports their outcome as later inputs.
 #pragma once
 
+#include "serving/crash_reports.hpp"
 #include "serving/quarantine.hpp"
 #include "serving/request_state.hpp"
 #include "serving/retry_budget.hpp"
@@ -123,6 +124,8 @@
     /// requests with equal prompts match even if other fields differ.
     std::function<std::vector<std::uint64_t>(std::string_view prompt)>
         prefix_blocks;
+    /// Returns the other entries that answer callers now; may be empty.
+    std::function<std::vector<node_id>()> live_entries;
 };
 
 /// Queue order of waiting requests: priority, then deadline.
@@ -165,6 +168,7 @@
 
     std::map<service_name, retry_budget> budgets;
     quarantine_state crash_evidence;
+    std::vector<open_crash_report> crash_reports;
     /// Upstreams that gave notice, with the deadline of each.
     std::map<upstream_id, time_point> leaving;
     std::optional<drain_state> drain;
--- a/src/serving/moves.cpp
+++ b/src/serving/moves.cpp
@@ -82,12 +82,25 @@
             found.push_back(request.get());
     for (request_state* request : found)
     {
+        request->may_have_run = claim_of(*request) == run_claim::unknown;
         drop_current_attempt(scope, *request);
-        request->may_have_run = true;
         fail_request(scope, *request, {error_kind::quarantined, {}});
     }
 }
 
+void send_crash_report(step_scope& scope, const crash_verdict& verdict)
+{
+    report_crash report{
+        verdict.fingerprint, verdict.target, verdict.domain, {}};
+    if (scope.context.live_entries)
+        add_report(
+            scope.state.crash_reports,
+            report,
+            scope.context.live_entries(),
+            scope.now);
+    scope.actions.emplace_back(std::move(report));
+}
+
 } // namespace
 
 void handle(step_scope& scope, const upstream_leaves& input)
@@ -152,6 +165,24 @@
         input.domain,
         input.fingerprint,
         scope.now);
+    if (!input.reply_to.empty())
+        scope.actions.emplace_back(
+            acknowledge_crash{input.reply_to, input.fingerprint, input.target});
+}
+
+void handle(step_scope& scope, const crash_acknowledged& input)
+{
+    auto& reports = scope.state.crash_reports;
+    note_acknowledged(reports, input.from, input.fingerprint, input.target);
+    if (awaits_acknowledgement(reports, input.fingerprint, scope.now))
+        return;
+    std::vector<request_state*> held;
+    for (const auto& [id, request] : scope.state.requests)
+        if (request->phase == request_phase::failing &&
+            request->fingerprint == input.fingerprint)
+            held.push_back(request.get());
+    for (request_state* request : held)
+        send_held_error(scope, *request);
 }
 
 void move_request(step_scope& scope, request_state& request)
@@ -186,8 +217,7 @@
          judge_due_deaths(scope.state.crash_evidence, scope.now))
     {
         if (verdict.report_to_peers)
-            scope.actions.emplace_back(report_crash{
-                verdict.fingerprint, verdict.target, verdict.domain});
+            send_crash_report(scope, verdict);
         if (!verdict.quarantined)
             continue;
         ++scope.state.counters.quarantined;
--- a/src/serving/moves.hpp
+++ b/src/serving/moves.hpp
@@ -20,6 +20,7 @@
 void handle(step_scope& scope, const upstream_gone& input);
 /// Handles another entry's crash report.
 void handle(step_scope& scope, const crash_reported& input);
+void handle(step_scope& scope, const crash_acknowledged& input);
 
 /// Moves a request off an upstream that leaves. If no other is available it
 /// stays, and the move is tried again, until the upstream's deadline.
--- a/src/serving/request_state.hpp
+++ b/src/serving/request_state.hpp
@@ -29,6 +29,9 @@
     polling_journal,
     /// An attempt has been dispatched to an upstream.
     running,
+    /// Failed; the error is held back until other entries have noted the crash
+    /// reports about the request, at most until `retry_at`.
+    failing,
     /// Answered; the answer is retained so that a client can reattach.
     ended
 };
@@ -71,6 +74,13 @@
     std::optional<duration> retry_after;
 };
 
+/// An error that is held back from the client.
+struct held_error
+{
+    failure error;
+    std::optional<duration> retry_after;
+};
+
 /// A hand-over offered to another entry that has not answered yet.
 struct pending_hand_over
 {
@@ -129,7 +139,8 @@
     version_name version;
     std::uint32_t attempts_started = 0;
 
-    /// When a `delayed` or `polling_journal` request is placed again.
+    /// When a `delayed` or `polling_journal` request is placed again, or the
+    /// error of a `failing` one is sent at the latest.
     time_point retry_at;
     duration poll_interval{};
     /// Attempt named in the journal's record; empty if there is no record.
@@ -155,6 +166,7 @@
     /// The client was told of the passed deadline; the attempt continues only
     /// so that its answer can be stored in the journal.
     bool caller_answered = false;
+    std::optional<held_error> held;
     std::optional<final_answer> outcome;
     /// When the state of an ended request is deleted.
     time_point expires_at;
--- a/src/serving/step_scope.cpp
+++ b/src/serving/step_scope.cpp
@@ -42,6 +42,8 @@
 {
     if (request.phase == request_phase::ended)
         return request.expires_at;
+    if (request.phase == request_phase::failing)
+        return request.retry_at;
     time_point next = request.deadline;
     if (request.caller_answered)
         next += state.options.limits.late_answer_timeout;
--- a/src/wire/serving_codec.cpp
+++ b/src/wire/serving_codec.cpp
@@ -141,11 +141,12 @@
     message.set_fingerprint(report.fingerprint);
     message.set_upstream(report.target.value);
     message.set_failure_domain(report.domain.value);
+    message.set_acknowledge(true);
     return message.SerializeAsString();
 }
 
 std::variant<crash_reported, failure>
-decode_crash_reported(std::string_view bytes)
+decode_crash_reported(std::string_view bytes, const node_id& from)
 {
     crash_notice message;
     if (!parse(message, bytes) || message.fingerprint().empty() ||
@@ -154,7 +155,27 @@
     return crash_reported{
         message.fingerprint(),
         {message.upstream()},
-        {message.failure_domain()}};
+        {message.failure_domain()},
+        message.acknowledge() ? from : node_id{}};
+}
+
+std::string encode(const acknowledge_crash& reply)
+{
+    crash_acknowledgement message;
+    message.set_fingerprint(reply.fingerprint);
+    message.set_upstream(reply.target.value);
+    return message.SerializeAsString();
+}
+
+std::variant<bergamotusher::crash_acknowledged, failure>
+decode_crash_acknowledged(std::string_view bytes, const node_id& from)
+{
+    crash_acknowledgement message;
+    if (!parse(message, bytes) || message.fingerprint().empty() ||
+        message.upstream().empty())
+        return make_failure("crash acknowledgement: cannot be read");
+    return bergamotusher::crash_acknowledged{
+        from, message.fingerprint(), {message.upstream()}};
 }
 
 } // namespace bergamotusher::wire
--- a/src/wire/serving_codec.hpp
+++ b/src/wire/serving_codec.hpp
@@ -31,6 +31,13 @@
 
 /// Decodes a `crash_notice`. Errors: `malformed_message`.
 std::variant<crash_reported, failure>
-decode_crash_reported(std::string_view bytes);
+decode_crash_reported(std::string_view bytes, const node_id& from);
+
+/// Encodes a `crash_acknowledgement`.
+std::string encode(const acknowledge_crash& reply);
+
+/// Decodes a `crash_acknowledgement`. Errors: `malformed_message`.
+std::variant<bergamotusher::crash_acknowledged, failure>
+decode_crash_acknowledged(std::string_view bytes, const node_id& from);
 
 } // namespace bergamotusher::wire
--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -149,6 +149,13 @@
             peer_link->cut();
 }
 
+void cluster::slow_down(unsigned index, std::chrono::milliseconds by)
+{
+    for (auto& [ends, peer_link] : links_)
+        if (ends.first == index || ends.second == index)
+            peer_link->slow_down(by);
+}
+
 void cluster::rejoin(unsigned index)
 {
     for (auto& [ends, peer_link] : links_)
--- a/tests/harness/cluster.hpp
+++ b/tests/harness/cluster.hpp
@@ -6,6 +6,7 @@
 #include "harness/child.hpp"
 #include "harness/link.hpp"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -36,7 +37,10 @@
     /// Holds back all data between the daemon and its peers, without closing
     /// connections. No effect without links.
     void isolate(unsigned index);
-    /// Ends `isolate`.
+    /// Delays each block of data between the daemon and its peers by this time.
+    /// No effect without links.
+    void slow_down(unsigned index, std::chrono::milliseconds by);
+    /// Ends `isolate` and `slow_down`.
     void rejoin(unsigned index);
     /// The address (IP:PORT) for client requests to the daemon.
     std::string entry(unsigned index) const;
--- a/tests/process/operator_test.cpp
+++ b/tests/process/operator_test.cpp
@@ -171,3 +171,27 @@
         CHECK(joined_text(good_response) == expected_text(5));
     }
 }
+
+TEST_CASE("a retry at another entry does not overtake slow crash reports")
+{
+    cluster system(4, true);
+    for (int i = 1; i <= 4; ++i)
+        system.start_engine(
+            "engine-" + std::to_string(i),
+            {std::string("--domain=") + (i % 2 == 0 ? "suva" : "nadi"),
+             "--crash-on=poison"});
+    system.slow_down(0, std::chrono::milliseconds(50));
+    for (unsigned i = 0; i < 4; ++i)
+    {
+        const auto response =
+            stream_completion({system.entry(i)}, cluster::key, "poison", 5);
+        CHECK(!response.done);
+        INFO(response.error);
+        CHECK(json::parse(response.error).value("kind", "") == "quarantined");
+    }
+    int running_engines = 0;
+    for (int i = 1; i <= 4; ++i)
+        running_engines +=
+            system.upstream("engine-" + std::to_string(i)).running();
+    CHECK(running_engines == 2);
+}
--- a/tests/serving/codec_test.cpp
+++ b/tests/serving/codec_test.cpp
@@ -57,6 +57,28 @@
         }));
 }
 
+TEST_CASE("A crash report names the entry that waits for its acknowledgement")
+{
+    const report_crash sent{"print", {"llm1"}, {"suva"}, {}};
+    const auto read =
+        wire::decode_crash_reported(wire::encode(sent), {"entry1"});
+    const auto* report = std::get_if<crash_reported>(&read);
+    REQUIRE(report != nullptr);
+    CHECK(report->fingerprint == sent.fingerprint);
+    CHECK((report->target == sent.target));
+    CHECK((report->domain == sent.domain));
+    CHECK((report->reply_to == node_id{"entry1"}));
+
+    const acknowledge_crash reply{{"entry1"}, "print", {"llm1"}};
+    const auto answer =
+        wire::decode_crash_acknowledged(wire::encode(reply), {"entry2"});
+    const auto* noted = std::get_if<crash_acknowledged>(&answer);
+    REQUIRE(noted != nullptr);
+    CHECK((noted->from == node_id{"entry2"}));
+    CHECK(noted->fingerprint == reply.fingerprint);
+    CHECK((noted->target == reply.target));
+}
+
 TEST_CASE("Damaged messages are decoded or rejected as malformed")
 {
     CHECK(rc::check(
@@ -71,7 +93,9 @@
             if (const auto* error = std::get_if<failure>(&read))
                 RC_ASSERT(error->kind == error_kind::malformed_message);
             static_cast<void>(wire::decode_hand_over_answered(bytes));
-            static_cast<void>(wire::decode_crash_reported(bytes));
+            static_cast<void>(wire::decode_crash_reported(bytes, {"entry1"}));
+            static_cast<void>(
+                wire::decode_crash_acknowledged(bytes, {"entry1"}));
         }));
 }
 
--- a/tests/serving/crash_test.cpp
+++ b/tests/serving/crash_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <limits>
 
 using namespace bergamotusher;
 using namespace bergamotusher::serving_test;
@@ -215,3 +216,97 @@
     }
     CHECK(sim.entries[0].counters.quarantined == 0);
 }
+
+TEST_CASE("An entry that never acknowledges does not hold an answer for long")
+{
+    simulation sim(2);
+    crash_upstreams_on(sim, "deadly");
+    sim.crash_reports_lost = std::numeric_limits<int>::max();
+    send(sim, stream_request("deadly", 10));
+    run_for(sim, 10ms);
+    while (sim.entries[0].counters.quarantined == 0)
+        run_for(sim, 5ms);
+    const time_point quarantined = sim.now;
+    run_until_answered(sim, 30s);
+    const fake_caller& caller = sim.callers["r-deadly"];
+    REQUIRE(caller.error);
+    CHECK(caller.error->error.kind == error_kind::quarantined);
+    CHECK(caller.error->run == run_claim::unknown);
+    CHECK(sim.now - quarantined <= 510ms);
+    run_for(sim, 6s);
+    CHECK(sim.entries[0].crash_reports.empty());
+}
+
+TEST_CASE("An entry that stops sends an error that it holds back")
+{
+    simulation sim(2);
+    crash_upstreams_on(sim, "deadly");
+    sim.crash_reports_lost = std::numeric_limits<int>::max();
+    const fake_caller& caller = send(sim, stream_request("deadly", 10));
+    run_for(sim, 10ms);
+    while (sim.entries[0].counters.quarantined == 0)
+        run_for(sim, 5ms);
+    CHECK_FALSE(caller.ended);
+    feed(sim, 0, drain_started{sim.now, {}});
+    REQUIRE(caller.error);
+    CHECK(caller.error->error.kind == error_kind::quarantined);
+    CHECK(caller.error->run == run_claim::unknown);
+    run_for(sim, 1s);
+    CHECK(caller.protocol_error.empty());
+    CHECK(sim.drained_entries[0]);
+}
+
+TEST_CASE("A repeated crash report does not count one death twice")
+{
+    simulation sim(2);
+    crash_upstreams_on(sim, "deadly");
+    sim.entries[0].options.limits.max_attempts = 1;
+    sim.crash_acknowledgements_lost = true;
+    send(sim, stream_request("deadly", 10));
+    run_for(sim, 15s);
+    CHECK(dead_upstreams(sim) == 1);
+    const auto reports = std::count_if(
+        sim.action_log.begin(),
+        sim.action_log.end(),
+        [](const serving_action& action)
+        { return std::holds_alternative<report_crash>(action); });
+    CHECK(reports > 3);
+    for (const serving::life_cycle& entry : sim.entries)
+    {
+        REQUIRE(entry.crash_evidence.counted_deaths.size() == 1);
+        CHECK(entry.crash_evidence.counted_deaths.begin()->second.size() == 1);
+        CHECK(entry.counters.quarantined == 0);
+    }
+}
+
+// Each retry is sent at once, at the entry that has not seen the crashes.
+TEST_CASE("A retry at another entry does not overtake the crash reports")
+{
+    simulation sim(3);
+    crash_upstreams_on(sim, "deadly");
+    const caller_request deadly = stream_request("deadly", 10);
+
+    SECTION("The reports take 5 ms") {}
+    SECTION("The reports take 200 ms")
+    {
+        sim.crash_report_delay = 200ms;
+    }
+    SECTION("The first reports are lost")
+    {
+        sim.crash_reports_lost = 4;
+    }
+    send(sim, deadly);
+    run_until_answered(sim, 30s);
+    REQUIRE(sim.callers["r-deadly"].error);
+    CHECK(dead_upstreams(sim) == 2);
+    for (std::size_t entry : {1U, 2U})
+    {
+        const std::string id = "again" + std::to_string(entry);
+        send(sim, resend(deadly, id), entry);
+        run_until_answered(sim, 30s);
+        REQUIRE(sim.callers[id].error);
+        CHECK(sim.callers[id].error->error.kind == error_kind::quarantined);
+        CHECK(sim.callers[id].error->run == run_claim::not_run);
+    }
+    CHECK(dead_upstreams(sim) == 2);
+}
--- a/tests/serving/simulation.hpp
+++ b/tests/serving/simulation.hpp
@@ -112,6 +112,11 @@
     int journal_answers_doubled = 0;
     bool journal_finishes_lost = false;
     bool successors_decline = false;
+    /// Number of crash reports still to be lost.
+    int crash_reports_lost = 0;
+    bool crash_acknowledgements_lost = false;
+    /// How long each other report or acknowledgement takes.
+    duration crash_report_delay = 5ms;
 
     /// How often each order ran, and how often each prompt was dispatched to
     /// and accepted by an upstream.
--- a/tests/serving/simulation_actions.cpp
+++ b/tests/serving/simulation_actions.cpp
@@ -248,13 +248,49 @@
 void carry_out(simulation& sim, std::size_t entry, const report_crash& action)
 {
     for (std::size_t i = 0; i < sim.entries.size(); ++i)
-        if (i != entry)
-            feed_after(
-                sim,
-                delivery_delay,
-                i,
-                crash_reported{
-                    action.fingerprint, action.target, action.domain});
+    {
+        if (i == entry || (!action.to.empty() &&
+                           !contains(action.to, sim.entries[i].options.node)))
+            continue;
+        if (sim.crash_reports_lost > 0)
+        {
+            --sim.crash_reports_lost;
+            continue;
+        }
+        feed_after(
+            sim,
+            sim.crash_report_delay,
+            i,
+            crash_reported{
+                action.fingerprint,
+                action.target,
+                action.domain,
+                sim.entries[entry].options.node});
+    }
+}
+
+void carry_out(
+    simulation& sim, std::size_t entry, const acknowledge_crash& action)
+{
+    if (sim.crash_acknowledgements_lost)
+        return;
+    feed_after(
+        sim,
+        sim.crash_report_delay,
+        entry_of(sim, action.to),
+        crash_acknowledged{
+            sim.entries[entry].options.node,
+            action.fingerprint,
+            action.target});
+}
+
+std::vector<node_id> live_entries(const simulation& sim, std::size_t self)
+{
+    std::vector<node_id> live;
+    for (std::size_t i = 0; i < sim.entries.size(); ++i)
+        if (i != self)
+            live.push_back(sim.entries[i].options.node);
+    return live;
 }
 
 void carry_out(simulation& sim, std::size_t entry, const drained&)
@@ -276,7 +312,11 @@
         [&sim](const choice_request& question, time_point)
         { return choose(sim, question); },
         wall_time{},
-        {}};
+        {},
+        [&sim, entry]
+        {
+            return live_entries(sim, entry);
+        }};
     const int restarts_before = sim.restarts[entry];
     for (const serving_action& action :
          serving::step(sim.entries[entry], input, context, sim.now))
