Tests: addresses of a test process are its own

A port that was free on 127.0.0.1 was given to an outgoing connection of another process before the test bound it. Each test process has an IP address of its own on the loopback network now, and ports below those of outgoing connections.

--- a/tests/control/local_cluster.hpp
+++ b/tests/control/local_cluster.hpp
@@ -5,9 +5,7 @@
 
 #include "daemon/control_duty.hpp"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <cstdlib>
@@ -16,6 +14,7 @@
 #include <mutex>
 #include <stdexcept>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 namespace local_cluster
@@ -65,13 +64,16 @@
     bergamotusher::proposer* proposer = nullptr;
 };
 
+/// An address that nothing else uses: the IP address is of this process, so
+/// that no outgoing connection of another one is given its port.
 inline std::string free_address()
 {
-    namespace ip = boost::asio::ip;
-    boost::asio::io_context loop;
-    ip::tcp::acceptor acceptor(
-        loop, ip::tcp::endpoint(ip::address_v4::loopback(), 0));
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    constexpr int first_port = 7000;
+    static std::atomic<int> next_port{first_port};
+    const auto id = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(20 + (id >> 16U) % 50) + "." +
+           std::to_string((id >> 8U) & 0xffU) + "." +
+           std::to_string(id & 0xffU) + ":" + std::to_string(next_port++);
 }
 
 inline time_point now()
--- a/tests/control/peers_duty_test.cpp
+++ b/tests/control/peers_duty_test.cpp
@@ -1,5 +1,7 @@
 #include "control/local_cluster.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <zmq.hpp>
 
