--- a/src/daemon/peers_duty.cpp
+++ b/src/daemon/peers_duty.cpp
@@ -1,6 +1,7 @@
 #include "daemon/peers_duty.hpp"
 
 #include "base/clock.hpp"
+#include "daemon/peer_incarnations.hpp"
 
 #include <boost/lockfree/spsc_queue.hpp>
 #include <zmq.hpp>
@@ -8,10 +9,8 @@
 #include <algorithm>
 #include <atomic>
 #include <cerrno>
-#include <charconv>
 #include <chrono>
 #include <deque>
-#include <limits>
 #include <map>
 #include <mutex>
 #include <set>
@@ -32,8 +31,6 @@
 /// that was opened for the first of them: after a start of many nodes, replies
 /// and votes would be lost otherwise.
 constexpr duration first_connect_time = 500ms;
-/// Minimum time between two incarnation notices to one node.
-constexpr duration notice_interval = 100ms;
 /// Interval at which waiting messages are tried again.
 constexpr std::chrono::milliseconds waiting_retry_interval{10};
 constexpr std::size_t max_waiting_messages = 1024;
@@ -60,13 +57,6 @@
     to.bytes.fetch_add(bytes, std::memory_order_relaxed);
 }
 
-hybrid_time wall_clock()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return {
-        std::chrono::duration_cast<std::chrono::milliseconds>(now).count(), 0};
-}
-
 } // namespace
 
 struct peers_sender
@@ -94,9 +84,7 @@
     /// With open membership, the time of the last message to each node.
     std::map<node_id, time_point> last_sent_at;
     time_point next_idle_check;
-    std::map<node_id, std::uint64_t> incarnations;
-    /// When each node was last told that its incarnation is too low.
-    std::map<node_id, time_point> notified_at;
+    peer_incarnations incarnations;
     /// With open membership, when the connection to each node was opened, and
     /// the encoded messages that wait for it.
     std::map<node_id, time_point> opened_at;
@@ -256,49 +244,29 @@
 
 void transmit(peers_duty& duty, outgoing_message&& message);
 
-/// Records the sender's incarnation. Returns false if a message of a newer one
-/// has arrived.
-bool accept_incarnation(peers_duty& duty, const incoming_message& message)
+/// Handles a message of an earlier process of a node: it is dropped, and the
+/// node is told the incarnation that was heard.
+void drop_stale(peers_duty& duty, const node_id& from)
 {
-    std::uint64_t& newest = duty.incarnations[message.from];
-    const bool has_restarted = newest != 0 && message.incarnation > newest;
-    newest = std::max(newest, message.incarnation);
-    // A connection that is being restored waits between its attempts; a new one
-    // connects at once.
-    if (has_restarted && duty.options.open_membership)
-        duty.dealers.erase(message.from);
-    return newest == message.incarnation;
-}
-
-/// Tells a node that its messages are dropped because a higher incarnation of
-/// it was heard: its clock was set back before it started.
-void send_incarnation_notice(
-    peers_duty& duty, const node_id& to, std::uint64_t newest)
-{
-    const time_point now = uptime();
-    time_point& notified_at = duty.notified_at[to];
-    if (now - notified_at < notice_interval)
-        return;
-    notified_at = now;
-    transmit(duty, {to, wire::incarnation_notice, std::to_string(newest)});
+    duty.stale_incarnation.fetch_add(1, std::memory_order_relaxed);
+    if (duty.options.open_membership &&
+        should_notify(duty.incarnations, from, uptime()))
+        transmit(
+            duty,
+            {from,
+             wire::incarnation_notice,
+             std::to_string(duty.incarnations.newest[from])});
 }
 
 void handle_incarnation_notice(
     peers_duty& duty, const incoming_message& message)
 {
-    std::uint64_t heard = 0;
-    const char* const end = message.body.data() + message.body.size();
-    const auto [parsed_to, error] =
-        std::from_chars(message.body.data(), end, heard);
-    if (error != std::errc() || parsed_to != end ||
-        heard == std::numeric_limits<std::uint64_t>::max())
-    {
+    const auto raised =
+        incarnation_after_notice(duty.options.incarnation, message.body);
+    if (raised)
+        duty.options.incarnation = *raised;
+    else
         duty.malformed.fetch_add(1, std::memory_order_relaxed);
-        return;
-    }
-    // A late message of an earlier process brings a notice of the own one.
-    if (heard > duty.options.incarnation)
-        duty.options.incarnation = heard + 1;
 }
 
 void handle_frame(peers_duty& duty, const zmq::message_t& frame)
@@ -321,14 +289,14 @@
         duty.unknown_sender.fetch_add(1, std::memory_order_relaxed);
         return;
     }
-    if (!accept_incarnation(duty, message))
-    {
-        duty.stale_incarnation.fetch_add(1, std::memory_order_relaxed);
-        if (duty.options.open_membership)
-            send_incarnation_notice(
-                duty, message.from, duty.incarnations[message.from]);
-        return;
-    }
+    const sender_process sender = record_incarnation(
+        duty.incarnations, message.from, message.incarnation);
+    if (sender == sender_process::earlier)
+        return drop_stale(duty, message.from);
+    // A connection that is being restored waits between its attempts; a new one
+    // connects at once.
+    if (sender == sender_process::restarted && duty.options.open_membership)
+        duty.dealers.erase(message.from);
     if (duty.options.observe)
         duty.options.observe({envelope.wall_ms(), envelope.logical()});
     count_message(duty.received[message.kind], frame.size());
@@ -378,8 +346,7 @@
                 continue;
             }
             duty.dealers.erase(i->first);
-            duty.incarnations.erase(i->first);
-            duty.notified_at.erase(i->first);
+            forget_node(duty.incarnations, i->first);
             duty.opened_at.erase(i->first);
             i = duty.last_sent_at.erase(i);
         }
@@ -423,8 +390,9 @@
 
 void transmit(peers_duty& duty, outgoing_message&& message)
 {
-    const hybrid_time at =
-        duty.options.clock ? duty.options.clock() : wall_clock();
+    const hybrid_time at = duty.options.clock
+                               ? duty.options.clock()
+                               : hybrid_time{time_of_day().milliseconds, 0};
     wire::envelope envelope;
     envelope.set_kind(message.kind);
     envelope.set_from(duty.options.self.value);
