--- a/src/daemon/control_confirmation.cpp
+++ b/src/daemon/control_confirmation.cpp
@@ -49,10 +49,6 @@
 void renew_lease(control_duty& duty, time_point asked_at)
 {
     const time_point until = asked_at + duty.options.configuration_lease;
-    {
-        const std::lock_guard lock(duty.status_mutex);
-        duty.status.configuration_until = until;
-    }
     for (const auto& proposer : duty.proposers)
         proposer->notify(configuration_lease{until, asked_at});
 }
--- a/src/daemon/control_duty.hpp
+++ b/src/daemon/control_duty.hpp
@@ -117,9 +117,6 @@
     bool admitted = false;
     /// End of this node's leader lease; in the past if it holds none.
     time_point lease_until;
-    /// End of the configuration lease: until then this node's configuration may
-    /// be used for new requests.
-    time_point configuration_until;
     std::optional<failure> failed;
     /// Duration of opening and reading the data folder.
     duration open_duration{};
--- a/src/daemon/control_start.cpp
+++ b/src/daemon/control_start.cpp
@@ -86,8 +86,6 @@
     duty.orders_allowed = false;
     const std::lock_guard lock(duty.status_mutex);
     duty.status.role = role::follower;
-    // The state goes back to the newest snapshot.
-    duty.status.configuration_until = {};
     duty.status.failed.reset();
 }
 
--- a/tests/control/control_answers_test.cpp
+++ b/tests/control/control_answers_test.cpp
@@ -86,6 +86,17 @@
     return stopped.seen.configuration_until > now();
 }
 
+/// Forwards one proposal to the leader and returns the ticket that its answer
+/// will carry.
+std::uint64_t forward_proposal(stopped_duty& stopped)
+{
+    stopped.control->core.leader = {"n1"};
+    accept_proposal(
+        *stopped.control, *stopped.sending_proposer, {1, "change", now() + 1h});
+    flush_proposals(*stopped.control);
+    return stopped.control->forwarded_proposals.begin()->first;
+}
+
 } // namespace
 
 TEST_CASE("a proposal's outcome follows from the entry applied at its index")
@@ -155,22 +166,6 @@
     }
 }
 
-namespace
-{
-
-/// Forwards one proposal to the leader and returns the ticket that its answer
-/// will carry.
-std::uint64_t forward_proposal(stopped_duty& stopped)
-{
-    stopped.control->core.leader = {"n1"};
-    accept_proposal(
-        *stopped.control, *stopped.sending_proposer, {1, "change", now() + 1h});
-    flush_proposals(*stopped.control);
-    return stopped.control->forwarded_proposals.begin()->first;
-}
-
-} // namespace
-
 TEST_CASE("a late answer to an earlier process does not answer a proposal")
 {
     stopped_duty earlier;
--- a/tests/gateway/control_link_test.cpp
+++ b/tests/gateway/control_link_test.cpp
@@ -17,6 +17,14 @@
     return sample::configuration(1);
 }
 
+control_link_options link_options()
+{
+    control_link_options options;
+    options.seeds = {{"c1"}};
+    options.parse = parse_site;
+    return options;
+}
+
 /// A control link that keeps the reports that it sends.
 struct linked_entry
 {
@@ -26,7 +34,7 @@
 
     linked_entry()
         : link(
-              {.seeds = {{"c1"}}, .parse = parse_site},
+              link_options(),
               entry.view,
               *entry.requests,
               entry.log,
--- a/tests/gateway/crash_test.cpp
+++ b/tests/gateway/crash_test.cpp
@@ -13,11 +13,6 @@
 namespace
 {
 
-bool contains(const std::string& text, const std::string& part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 std::string
 with_parts(const std::string& parts, int attempt, const std::string& body)
 {
--- a/tests/gateway/cut_answer_test.cpp
+++ b/tests/gateway/cut_answer_test.cpp
@@ -16,11 +16,6 @@
 namespace
 {
 
-bool contains(const std::string& text, const std::string& part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 std::size_t count(const std::string& text, const std::string& part)
 {
     std::size_t found = 0;
@@ -164,14 +159,11 @@
     return all;
 }
 
-} // namespace
-
-TEST_CASE(
-    "an order whose answer is cut at any byte is neither whole nor repeated")
+/// Calls `check` with the script of each answer cut at each byte at which it is
+/// incomplete.
+template<class Check>
+void for_each_cut(const std::string& how, Check check)
 {
-    const bool reused = GENERATE(false, true);
-    const std::string how = GENERATE("<cut>", "<reset>");
-    CAPTURE(reused, how);
     for (const cut_answer& each : answers_to_cut())
     {
         // An answer without a length is incomplete after a reset at any byte.
@@ -179,17 +171,33 @@
             how == "<reset>" ? each.bytes.size() : each.incomplete;
         for (std::size_t size = 0; size < end; ++size)
         {
-            const std::string script = each.bytes.substr(0, size);
+            const std::string script = each.bytes.substr(0, size) + how;
             CAPTURE(script);
-            cut_fixture cut("desk", "/order/", reused, script + how);
+            check(script);
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE(
+    "an order whose answer is cut at any byte is neither whole nor repeated")
+{
+    const bool reused = GENERATE(false, true);
+    const std::string how = GENERATE("<cut>", "<reset>");
+    CAPTURE(reused, how);
+    for_each_cut(
+        how,
+        [&](const std::string& script)
+        {
+            cut_fixture cut("desk", "/order/", reused, script);
             const std::string received = send_until_closed(
                 cut.entry, closing_request("POST", "/order/2", 2));
             CHECK(received.substr(0, 12) == "HTTP/1.1 502");
             CHECK(cut.first->requests.size() == (reused ? 2 : 1));
             REQUIRE(cut.second);
             CHECK(cut.second->requests.empty());
-        }
-    }
+        });
 }
 
 TEST_CASE("a repeatable request whose answer is cut at any byte is sent again")
@@ -199,21 +207,16 @@
     CAPTURE(reused, how);
     std::string whole = answer(200, "of the second", 2);
     whole.insert(whole.find("\r\n\r\n") + 2, "Connection: close\r\n");
-    for (const cut_answer& each : answers_to_cut())
-    {
-        const std::size_t end =
-            how == "<reset>" ? each.bytes.size() : each.incomplete;
-        for (std::size_t size = 0; size < end; ++size)
+    for_each_cut(
+        how,
+        [&](const std::string& script)
         {
-            const std::string script = each.bytes.substr(0, size);
-            CAPTURE(script);
-            cut_fixture cut("desk", "/lookup/", reused, script + how);
+            cut_fixture cut("desk", "/lookup/", reused, script);
             const std::string received = send_until_closed(
                 cut.entry, closing_request("POST", "/lookup/2", 2));
             CHECK(received == whole);
             CHECK(cut.second->requests.size() == 1);
-        }
-    }
+        });
 }
 
 TEST_CASE("a stream that is cut at any byte goes on after its last whole event")
--- a/tests/gateway/endless_answer_test.cpp
+++ b/tests/gateway/endless_answer_test.cpp
@@ -17,11 +17,6 @@
 namespace
 {
 
-bool contains(const std::string& text, const std::string& part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 std::string repeated(const std::string& text, std::size_t bytes)
 {
     std::string out;
--- a/tests/gateway/faulty_upstream_test.cpp
+++ b/tests/gateway/faulty_upstream_test.cpp
@@ -11,11 +11,6 @@
 namespace
 {
 
-bool contains(const std::string& text, const std::string& part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 std::string refusal(const std::string& attempt_field)
 {
     return "HTTP/1.1 503 X\r\nNot-Run: 1\r\n" + attempt_field +
--- a/tests/gateway/grant_wait_test.cpp
+++ b/tests/gateway/grant_wait_test.cpp
@@ -10,11 +10,6 @@
 namespace
 {
 
-bool contains(const std::string& text, const std::string& part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 /// The test's site with a limit of 100 requests per second.
 std::shared_ptr<const site::indexed_configuration> limited_site()
 {
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -266,6 +266,11 @@
            std::to_string(attempt) + "\r\nContent-Length: 0\r\n\r\n";
 }
 
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
 std::string answer(int status, const std::string& body, int attempt)
 {
     return "HTTP/1.1 " + std::to_string(status) +
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -77,6 +77,8 @@
 std::string
 request(const std::string& method, const std::string& path, int attempt = 1);
 
+bool contains(const std::string& text, const std::string& part);
+
 /// A complete answer of a scripted upstream.
 std::string answer(int status, const std::string& body, int attempt = 1);
 
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -10,16 +10,6 @@
 
 using namespace relay_fixture;
 
-namespace
-{
-
-bool contains(const std::string& text, const std::string& part)
-{
-    return text.find(part) != std::string::npos;
-}
-
-} // namespace
-
 TEST_CASE("an upstream's answer is forwarded unchanged")
 {
     entry_fixture entry;
--- a/tests/gateway/site_confirmation_test.cpp
+++ b/tests/gateway/site_confirmation_test.cpp
@@ -12,11 +12,6 @@
 namespace
 {
 
-bool contains(const std::string& text, const std::string& part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 std::shared_ptr<const site::indexed_configuration> extended_site()
 {
     site::configuration value = sample::configuration(2);
--- a/tests/soak/configuration_faults.cpp
+++ b/tests/soak/configuration_faults.cpp
@@ -27,12 +27,10 @@
 
 configuration_faults::configuration_faults(
     test_cluster& cluster,
-    upstream_set& upstreams,
     contact_log& contacts,
     unsigned seed,
     time_point started_at)
     : cluster_(cluster)
-    , upstreams_(upstreams)
     , contacts_(contacts)
     , random_(seed)
     , started_at_(started_at)
@@ -93,8 +91,7 @@
 
 milliseconds configuration_faults::random_duration(int min_ms, int max_ms)
 {
-    return milliseconds(
-        min_ms + static_cast<int>(random_() % unsigned(max_ms - min_ms)));
+    return draw_duration(random_, min_ms, max_ms);
 }
 
 void configuration_faults::log_fault(const std::string& description)
@@ -107,7 +104,7 @@
 void configuration_faults::schedule_end(
     milliseconds delay, std::function<void()> end)
 {
-    ends_.push_back({clock_type::now() + delay, std::move(end)});
+    schedule_.add(clock_type::now() + delay, std::move(end));
 }
 
 bool configuration_faults::reserve(unsigned node)
@@ -447,29 +444,12 @@
 
 void configuration_faults::end_due_faults(time_point now)
 {
-    std::vector<scheduled_end> due;
-    for (auto i = ends_.begin(); i != ends_.end();)
-    {
-        if (i->due_at > now)
-        {
-            ++i;
-            continue;
-        }
-        due.push_back(std::move(*i));
-        i = ends_.erase(i);
-    }
-    std::sort(
-        due.begin(),
-        due.end(),
-        [](const scheduled_end& a, const scheduled_end& b)
-        { return a.due_at < b.due_at; });
-    for (const scheduled_end& each : due)
-        each.end();
+    schedule_.run_due(now);
 }
 
 void configuration_faults::end_all_faults()
 {
-    end_due_faults(time_point::max());
+    schedule_.run_all();
 }
 
 } // namespace soak
--- a/tests/soak/configuration_faults.hpp
+++ b/tests/soak/configuration_faults.hpp
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "soak/contact_log.hpp"
+#include "soak/fault_schedule.hpp"
 #include "soak/test_cluster.hpp"
-#include "soak/upstream_set.hpp"
 
 #include <functional>
 #include <random>
@@ -20,7 +20,6 @@
 public:
     configuration_faults(
         test_cluster& cluster,
-        upstream_set& upstreams,
         contact_log& contacts,
         unsigned seed,
         time_point started_at);
@@ -38,12 +37,6 @@
     std::vector<std::string> log;
 
 private:
-    struct scheduled_end
-    {
-        time_point due_at;
-        std::function<void()> end;
-    };
-
     unsigned random_control_node();
     unsigned random_node();
     std::chrono::milliseconds random_duration(int min_ms, int max_ms);
@@ -74,12 +67,11 @@
     void start(unsigned node);
 
     test_cluster& cluster_;
-    upstream_set& upstreams_;
     contact_log& contacts_;
     std::mt19937 random_;
     time_point started_at_;
     std::set<unsigned> disturbed_;
-    std::vector<scheduled_end> ends_;
+    fault_schedule schedule_;
     time_point next_disk_loss_at_;
     time_point next_disk_fault_at_;
 };
--- a/tests/soak/configuration_run.cpp
+++ b/tests/soak/configuration_run.cpp
@@ -3,6 +3,8 @@
 #include "soak/configuration_faults.hpp"
 #include "soak/configuration_history.hpp"
 #include "soak/fake_cloud_api.hpp"
+#include "soak/fault_schedule.hpp"
+#include "soak/upstream_set.hpp"
 
 #include <atomic>
 #include <functional>
@@ -76,11 +78,6 @@
     configuration_spec newest;
 };
 
-void sleep_ms(int ms)
-{
-    std::this_thread::sleep_for(milliseconds(ms));
-}
-
 reply call_control_node(
     configuration_fixture& fixture,
     std::mt19937& random,
@@ -332,19 +329,6 @@
     }
 }
 
-bool wait_until_ready(configuration_fixture& fixture)
-{
-    const time_point deadline = clock_type::now() + std::chrono::seconds(15);
-    for (const unsigned entry : fixture.cluster.entries())
-        while (!fixture.cluster.is_ready(entry))
-        {
-            if (clock_type::now() > deadline)
-                return false;
-            sleep_ms(50);
-        }
-    return true;
-}
-
 /// Sends the first configuration until it is acknowledged.
 void send_first(configuration_fixture& fixture)
 {
@@ -396,15 +380,13 @@
     run_result result;
     std::mt19937 random(options.seed * 3 + 1);
     send_first(fixture);
-    if (!wait_until_ready(fixture))
+    if (!wait_until(
+            [&] { return fixture.cluster.all_entries_ready(); },
+            std::chrono::seconds(15)))
         result.violations.emplace_back(
             "an entry is not ready 15 s after the start");
     configuration_faults faults(
-        fixture.cluster,
-        fixture.upstreams,
-        fixture.contacts,
-        options.seed,
-        fixture.started_at);
+        fixture.cluster, fixture.contacts, options.seed, fixture.started_at);
     std::vector<std::thread> threads;
     for (unsigned i = 0; i < 2; ++i)
         threads.emplace_back([&fixture, i] { run_operator(fixture, i); });
--- a/tests/soak/planned_stop_test.cpp
+++ b/tests/soak/planned_stop_test.cpp
@@ -1,6 +1,7 @@
 // Stops one entry by SIGTERM in calm, while callers keep sending on kept and
 // new connections until the process is gone.
 #include "soak/fake_cloud_api.hpp"
+#include "soak/fault_schedule.hpp"
 #include "soak/http.hpp"
 #include "soak/run_history.hpp"
 #include "soak/test_cluster.hpp"
@@ -70,18 +71,6 @@
     std::atomic<bool> stopping{false};
 };
 
-bool wait_until(const std::function<bool()>& condition, milliseconds limit)
-{
-    const time_point end = clock_type::now() + limit;
-    while (!condition())
-    {
-        if (clock_type::now() > end)
-            return false;
-        std::this_thread::sleep_for(milliseconds(20));
-    }
-    return true;
-}
-
 http_request
 make_request(request_kind kind, const std::string& attempt, int work_ms)
 {
@@ -209,14 +198,8 @@
     };
     REQUIRE(wait_until(send_configuration, milliseconds(10'000)));
     const unsigned stopped = run.cluster.entries().front();
-    const auto all_ready = [&]
-    {
-        for (const unsigned each : run.cluster.entries())
-            if (!run.cluster.is_ready(each))
-                return false;
-        return true;
-    };
-    REQUIRE(wait_until(all_ready, milliseconds(10'000)));
+    REQUIRE(wait_until(
+        [&] { return run.cluster.all_entries_ready(); }, milliseconds(10'000)));
     const std::string address = run.cluster.entry_address(stopped);
     REQUIRE(wait_until(
         [&] { return is_listed(run, address); }, milliseconds(3000)));
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_run.hpp"
 
 #include "soak/fake_cloud_api.hpp"
+#include "soak/fault_schedule.hpp"
 #include "soak/http.hpp"
 #include "soak/run_history.hpp"
 #include "soak/test_cluster.hpp"
@@ -62,11 +63,6 @@
     time_point acknowledged_at;
 };
 
-void sleep_ms(int ms)
-{
-    std::this_thread::sleep_for(milliseconds(ms));
-}
-
 /// Sends a configuration repeatedly until it is acknowledged. Returns the time
 /// of the acknowledgement, or nothing if the run ends first.
 std::optional<time_point> replace_configuration(
@@ -248,13 +244,6 @@
     }
 }
 
-/// A scheduled action that ends a fault.
-struct scheduled_end
-{
-    time_point due_at;
-    std::function<void()> end;
-};
-
 class fault_injector
 {
 public:
@@ -299,21 +288,12 @@
 
     void end_due_faults(time_point now)
     {
-        for (auto i = ends_.begin(); i != ends_.end();)
-        {
-            if (i->due_at > now)
-            {
-                ++i;
-                continue;
-            }
-            i->end();
-            i = ends_.erase(i);
-        }
+        schedule_.run_due(now);
     }
 
     void end_all_faults()
     {
-        end_due_faults(time_point::max());
+        schedule_.run_all();
     }
 
     std::vector<std::string> log;
@@ -326,8 +306,7 @@
 
     milliseconds random_duration(int min_ms, int max_ms)
     {
-        return milliseconds(
-            min_ms + static_cast<int>(random_() % unsigned(max_ms - min_ms)));
+        return draw_duration(random_, min_ms, max_ms);
     }
 
     void log_fault(const std::string& description)
@@ -337,7 +316,7 @@
 
     void schedule_end(milliseconds delay, std::function<void()> end)
     {
-        ends_.push_back({clock_type::now() + delay, std::move(end)});
+        schedule_.add(clock_type::now() + delay, std::move(end));
     }
 
     /// Marks a node as disturbed. Returns false if it already was, so that
@@ -475,36 +454,17 @@
     soak_fixture& fixture_;
     std::mt19937 random_;
     std::map<unsigned, bool> disturbed_;
-    std::vector<scheduled_end> ends_;
+    fault_schedule schedule_;
     time_point next_disk_loss_at_;
 };
 
-bool wait_until(const std::function<bool()>& condition, double seconds)
-{
-    const time_point deadline =
-        clock_type::now() + milliseconds(static_cast<int>(seconds * 1000));
-    while (clock_type::now() < deadline)
-    {
-        if (condition())
-            return true;
-        sleep_ms(50);
-    }
-    return false;
-}
-
-bool all_entries_ready(soak_fixture& fixture)
-{
-    for (const unsigned each : fixture.cluster.entries())
-        if (!fixture.cluster.is_ready(each))
-            return false;
-    return true;
-}
-
 /// Checks that, after all faults have ended, the entries become ready, a drain
 /// is acknowledged, and requests succeed again.
 void check_recovery(soak_fixture& fixture)
 {
-    if (!wait_until([&] { return all_entries_ready(fixture); }, 15))
+    if (!wait_until(
+            [&] { return fixture.cluster.all_entries_ready(); },
+            std::chrono::seconds(15)))
         fixture.history.record_violation(
             "an entry is not ready 15 s after the last fault ended");
     std::this_thread::sleep_for(recovery_time);
@@ -537,7 +497,7 @@
             newest = version.value_or(0);
             return version.has_value();
         },
-        10);
+        std::chrono::seconds(10));
     const std::lock_guard<std::mutex> lock(fixture.mutex);
     if (!read || newest < fixture.acknowledged_version ||
         newest > fixture.sent_version)
@@ -557,7 +517,9 @@
         fixture.history.record_violation(
             "the first configuration was not acknowledged");
     run_result result;
-    if (!wait_until([&] { return all_entries_ready(fixture); }, 15))
+    if (!wait_until(
+            [&] { return fixture.cluster.all_entries_ready(); },
+            std::chrono::seconds(15)))
         fixture.history.record_violation(
             "an entry is not ready 15 s after the start");
     std::vector<std::thread> threads;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -55,11 +55,6 @@
     return value == nullptr ? 8 : std::atof(value);
 }
 
-} // namespace
-
-namespace
-{
-
 /// Runs each seed in a section of its own and reports what it violated.
 void run_seeds(
     const std::vector<unsigned>& seeds,
--- a/tests/soak/test_cluster.cpp
+++ b/tests/soak/test_cluster.cpp
@@ -337,6 +337,15 @@
                .status == 200;
 }
 
+bool test_cluster::all_entries_ready() const
+{
+    const std::vector<unsigned> all = entries();
+    return std::all_of(
+        all.begin(),
+        all.end(),
+        [this](unsigned entry) { return is_ready(entry); });
+}
+
 std::vector<std::string> initial_api_keys()
 {
     std::vector<std::string> keys;
--- a/tests/soak/test_cluster.hpp
+++ b/tests/soak/test_cluster.hpp
@@ -113,6 +113,7 @@
     /// The address on which the entry itself accepts callers, without its link.
     std::string entry_address(unsigned index) const;
     bool is_ready(unsigned index) const;
+    bool all_entries_ready() const;
 
     const cluster_shape shape;
     const address_plan plan;
