--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -31,4 +31,9 @@
     return {read_clock(CLOCK_REALTIME) / 1'000};
 }
 
+duration thread_processor_time()
+{
+    return duration(read_clock(CLOCK_THREAD_CPUTIME_ID));
+}
+
 } // namespace bergamotusher
--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -14,4 +14,7 @@
 /// The wall time, which may jump.
 wall_time time_of_day();
 
+/// Processor time that the calling thread has used.
+duration thread_processor_time();
+
 } // namespace bergamotusher
--- a/src/consensus/follower.cpp
+++ b/src/consensus/follower.cpp
@@ -36,7 +36,7 @@
             continue;
         if (term)
             truncate_conflict(replica, entry.index);
-        replica.log.entries.push_back(entry);
+        append(replica.log, entry);
         record_membership(replica, entry);
     }
 }
--- a/src/consensus/leader.cpp
+++ b/src/consensus/leader.cpp
@@ -151,7 +151,7 @@
     entry.term = replica.hard.term;
     entry.index = last_index(replica.log) + 1;
     record_membership(replica, entry);
-    replica.log.entries.push_back(std::move(entry));
+    append(replica.log, std::move(entry));
 }
 
 void update_followers(replica& replica, time_point now)
--- a/src/consensus/log.cpp
+++ b/src/consensus/log.cpp
@@ -3,6 +3,15 @@
 namespace bergamotusher::consensus
 {
 
+std::size_t size_of(const entry& value)
+{
+    std::size_t bytes = sizeof(entry) + value.command.size();
+    for (const auto* ids : {&value.members.voters, &value.members.learners})
+        for (const node_id& id : *ids)
+            bytes += sizeof(node_id) + id.value.size();
+    return bytes;
+}
+
 log_index last_index(const log& log)
 {
     return log.base_index + log.entries.size();
@@ -35,15 +44,24 @@
     for (log_index i = first; i <= last_index(log) && bytes < max_bytes; ++i)
     {
         result.push_back(entry_at(log, i));
-        bytes += result.back().command.size() + sizeof(entry);
+        bytes += size_of(result.back());
     }
     return result;
 }
 
+void append(log& log, entry value)
+{
+    log.bytes += size_of(value);
+    log.entries.push_back(std::move(value));
+}
+
 void truncate_from(log& log, log_index first)
 {
     while (last_index(log) >= first && !log.entries.empty())
+    {
+        log.bytes -= size_of(log.entries.back());
         log.entries.pop_back();
+    }
 }
 
 void compact_to(log& log, log_index index)
@@ -51,6 +69,7 @@
     log.base_term = *term_at(log, index);
     while (log.base_index < index)
     {
+        log.bytes -= size_of(log.entries.front());
         log.entries.pop_front();
         ++log.base_index;
     }
--- a/src/consensus/log.hpp
+++ b/src/consensus/log.hpp
@@ -17,8 +17,13 @@
     log_index base_index = 0;
     term_number base_term = 0;
     std::deque<entry> entries;
+    /// The sum of `size_of` over `entries`.
+    std::size_t bytes = 0;
 };
 
+/// Bytes that the entry occupies in memory, about as many as on disk.
+std::size_t size_of(const entry& value);
+
 /// The index of the newest entry, or of the base if there is none.
 log_index last_index(const log& log);
 /// The term of the entry at `last_index(log)`.
@@ -31,6 +36,8 @@
 /// least one if there is any.
 std::vector<entry>
 entries_from(const log& log, log_index first, std::size_t max_bytes);
+/// Adds the entry after `last_index(log)`.
+void append(log& log, entry value);
 /// Removes the entries from `first` on.
 void truncate_from(log& log, log_index first);
 /// Removes the entries up to `index`, which must be in the log, and makes
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -234,9 +234,8 @@
     recover_memberships(result, recovered);
     result.log.base_index = recovered.base.index;
     result.log.base_term = recovered.base.term;
-    result.log.entries.assign(
-        std::make_move_iterator(recovered.entries.begin()),
-        std::make_move_iterator(recovered.entries.end()));
+    for (entry& each : recovered.entries)
+        append(result.log, std::move(each));
     if (recovered.base.index > 0)
         result.base =
             std::make_shared<const snapshot>(std::move(recovered.base));
--- a/src/daemon/control_confirmation.cpp
+++ b/src/daemon/control_confirmation.cpp
@@ -62,6 +62,11 @@
         return;
     duty.next_confirmation_at = now + duty.options.confirmation_interval;
     duty.leader_answered = duty.leader_answered && !duty.current_confirmation;
+    if (duty.current_confirmation)
+    {
+        const std::lock_guard lock(duty.status_mutex);
+        ++duty.status.abandoned_confirmations;
+    }
     duty.current_confirmation =
         confirmation{duty.next_confirmation++, now, {}, {}};
     if (const auto index = consensus::lease_read(duty.core, now))
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -47,6 +47,7 @@
 void apply_entry(control_duty& duty, const consensus::entry& entry)
 {
     std::string result;
+    note_step_work("applied entries");
     if (entry.kind == consensus::entry_kind::command)
         result = duty.machine.apply(entry.index, entry.command);
     else if (entry.kind == consensus::entry_kind::members)
@@ -57,6 +58,7 @@
 void restore_state(control_duty& duty, const consensus::snapshot& value)
 {
     static const std::string empty_state;
+    note_step_work("restored a snapshot");
     duty.machine.restore(value.index, value.data ? *value.data : empty_state);
     duty.last_snapshot_index = value.index;
     answer_replaced_by_snapshot(duty, value.index);
@@ -235,6 +237,7 @@
     , next_ticket(random_number())
     , next_confirmation(random_number())
 {
+    steps.on_long_step = options.on_long_step;
 }
 
 void publish_status(control_duty& duty)
@@ -247,6 +250,8 @@
     status.applied = core.applied;
     status.last_index = consensus::last_index(core.log);
     status.snapshot_index = core.base ? core.base->index : 0;
+    status.log_entries = core.log.entries.size();
+    status.log_bytes = core.log.bytes;
     if (!(status.members == consensus::members_of(core)))
         status.members = consensus::members_of(core);
     status.admitted = core.hard.admitted;
@@ -395,6 +400,11 @@
     return duty.status;
 }
 
+const step_times& steps_of(const control_duty& duty)
+{
+    return duty.steps;
+}
+
 std::optional<fence> order_fence(const control_duty& duty, time_point now)
 {
     const fence current{duty.order_term, duty.order_index};
--- a/src/daemon/control_duty.hpp
+++ b/src/daemon/control_duty.hpp
@@ -15,6 +15,7 @@
 // which runs on the caller's thread before the control thread starts.
 #pragma once
 
+#include "base/step_times.hpp"
 #include "consensus/file_functions.hpp"
 #include "consensus/replica.hpp"
 #include "daemon/peers_duty.hpp"
@@ -85,6 +86,8 @@
     /// Called once, on the control thread, if storage fails; the replica has
     /// halted by then. Must not call `stop`, which joins that thread.
     std::function<void(const failure&)> on_failure;
+    /// Called on the control thread after a step that took long.
+    std::function<void(const long_step&)> on_long_step;
 };
 
 /// Fencing token of an order: an engine refuses an order whose fence is older
@@ -120,6 +123,13 @@
     std::optional<failure> failed;
     /// Duration of opening and reading the data folder.
     duration open_duration{};
+    /// Entries and bytes of the log above the snapshot when the folder was
+    /// opened.
+    std::uint64_t opened_entries = 0;
+    std::uint64_t opened_bytes = 0;
+    /// Entries and bytes of the log held in memory.
+    std::uint64_t log_entries = 0;
+    std::uint64_t log_bytes = 0;
 
     // Counters.
     std::uint64_t proposals = 0;
@@ -135,6 +145,8 @@
     /// Messages from peers that were dropped because the queue was full or that
     /// could not be decoded.
     std::uint64_t dropped_messages = 0;
+    /// Rounds of queries for a confirmation that were given up without one.
+    std::uint64_t abandoned_confirmations = 0;
 };
 
 struct control_duty;
@@ -187,6 +199,9 @@
 /// May be called from any thread.
 control_status status_of(const control_duty& duty);
 
+/// Step times of the control thread. May be called from any thread.
+const step_times& steps_of(const control_duty& duty);
+
 /// The fence to send with an order; empty if this node may not give orders at
 /// `now`. May be called from any thread; call it right before each order.
 std::optional<fence> order_fence(const control_duty& duty, time_point now);
--- a/src/daemon/control_start.cpp
+++ b/src/daemon/control_start.cpp
@@ -139,6 +139,8 @@
     {
         const std::lock_guard lock(duty.status_mutex);
         duty.status.open_duration = steady_now() - started_at;
+        duty.status.opened_entries = duty.status.log_entries;
+        duty.status.opened_bytes = duty.status.log_bytes;
     }
     start(*duty.storage);
     duty.thread = std::thread(
@@ -146,7 +148,7 @@
         {
             const auto guard = boost::asio::make_work_guard(duty.loop);
             on_timer(duty);
-            duty.loop.run();
+            run_measured(duty.loop, duty.steps);
         });
     return std::nullopt;
 }
--- a/src/daemon/control_state.hpp
+++ b/src/daemon/control_state.hpp
@@ -124,6 +124,7 @@
     time_point next_confirmation_at;
     bool leader_answered = false;
 
+    step_times steps;
     mutable std::mutex status_mutex;
     control_status status;
     std::atomic<std::int64_t> order_until_us{0};
--- a/src/observe/decision_log.hpp
+++ b/src/observe/decision_log.hpp
@@ -52,6 +52,7 @@
     move_changed,
     usage_reported,
     rent_ordered,
+    step_was_long,
     log_dropped
 };
 
@@ -87,6 +88,7 @@
         row{decision::move_changed, "move_changed"},
         row{decision::usage_reported, "usage_reported"},
         row{decision::rent_ordered, "rent_ordered"},
+        row{decision::step_was_long, "step_was_long"},
         row{decision::log_dropped, "log_dropped"}};
 }
 
--- a/src/site/control_process.cpp
+++ b/src/site/control_process.cpp
@@ -1,6 +1,7 @@
 #include "site/control_process.hpp"
 
 #include "base/clock.hpp"
+#include "base/step_times.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -8,6 +9,7 @@
 #include <atomic>
 #include <csignal>
 #include <memory>
+#include <sstream>
 
 namespace bergamotusher::site
 {
@@ -54,6 +56,7 @@
     void schedule();
     void await_signal();
     void restart_storage(time_point now);
+    std::string metrics() const;
 
     control_settings settings_;
     control_protocol protocol_;
@@ -62,6 +65,7 @@
     boost::asio::io_context loop_{1};
     boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
+    step_times loop_steps_;
     peers_duty_ptr peers_;
     control_service service_;
     control_handle control_;
@@ -162,6 +166,25 @@
                     uptime());
             });
     };
+    const auto log_long_step = [this](const char* thread, const long_step& step)
+    {
+        log_.write(
+            log_line(decision::step_was_long)
+                .with("thread", thread)
+                .with("processor_ms", step.processor_time)
+                .with("work", step.work)
+                .with("count", step.count),
+            uptime());
+    };
+    loop_steps_.on_long_step = [log_long_step](const long_step& step)
+    {
+        log_long_step("loop", step);
+    };
+    options.on_long_step = [this, log_long_step](const long_step& step)
+    {
+        boost::asio::post(
+            loop_, [step, log_long_step] { log_long_step("control", step); });
+    };
     control_ = make_control(
         std::move(options), service_.replicated_state_machine(), *peers_);
     service_.connect(*control_, *peers_);
@@ -185,7 +208,7 @@
                 exchange->answer(
                     200,
                     {{"Content-Type", "text/plain; version=0.0.4"}},
-                    service_.metrics());
+                    metrics());
             });
 }
 
@@ -209,19 +232,23 @@
             uptime());
         return 1;
     }
+    const control_status status = status_of(*control_);
     log_.write(
         log_line(decision::process_started)
             .with("version", BERGAMOTUSHER_VERSION)
             .with("peer_address", to_string(settings_.peer_address))
             .with("may_found", settings_.may_found ? 1 : 0)
-            .with("applied", status_of(*control_).applied)
-            .with("admitted", status_of(*control_).admitted ? 1 : 0),
+            .with("applied", status.applied)
+            .with("admitted", status.admitted ? 1 : 0)
+            .with("open_ms", status.open_duration)
+            .with("log_entries", status.opened_entries)
+            .with("log_bytes", status.opened_bytes),
         uptime());
     reload_at_ = uptime() + settings_interval;
     service_.start();
     await_signal();
     check();
-    loop_.run();
+    run_measured(loop_, loop_steps_);
     stop(*peers_);
     stop(*control_);
     log_.write(
@@ -310,6 +337,16 @@
     schedule();
 }
 
+std::string control_process::metrics() const
+{
+    std::ostringstream out;
+    out << service_.metrics();
+    write_step_times_header(out);
+    write_step_times(out, "loop", loop_steps_);
+    write_step_times(out, "control", steps_of(*control_));
+    return out.str();
+}
+
 void control_process::schedule()
 {
     timer_.expires_after(check_interval);
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -1,6 +1,7 @@
 #include "site/control_service.hpp"
 
 #include "base/clock.hpp"
+#include "base/step_times.hpp"
 #include "site/entry_load.hpp"
 #include "site/site_codec.hpp"
 #include "wire/site.pb.h"
@@ -160,6 +161,7 @@
 
 void control_service::on_state_changed()
 {
+    note_step_work("read the replicated state");
     const std::uint64_t version_before = site_.version;
     const auto moves_before = site_.moves;
     const departure_map departures_before = std::move(site_.departures);
@@ -367,6 +369,7 @@
 void control_service::send_report(
     const node_id& to, std::int64_t asked_at_us, bool answers_use)
 {
+    note_step_work("sent reports to entries");
     const time_point now = uptime();
     known_entry& entry = entries_[to];
     const control_status status = status_of(*control_);
@@ -522,6 +525,26 @@
         "Elections begun here.",
         status.elections);
     line("control_syncs_total", "counter", "Syncs of the log.", status.syncs);
+    line(
+        "control_log_entries",
+        "gauge",
+        "Entries of the log held in memory.",
+        status.log_entries);
+    line(
+        "control_log_bytes",
+        "gauge",
+        "Bytes of the log held in memory.",
+        status.log_bytes);
+    line(
+        "control_snapshots_total",
+        "counter",
+        "Snapshots taken.",
+        status.snapshots_taken);
+    line(
+        "control_abandoned_confirmations_total",
+        "counter",
+        "Rounds of queries for a confirmation without a result.",
+        status.abandoned_confirmations);
     line(
         "site_version", "gauge", "Version of the site applied.", site_.version);
     line("upstreams", "gauge", "Upstreams known.", directory_.upstreams.size());
