--- a/src/base/step_times.cpp
+++ b/src/base/step_times.cpp
@@ -11,27 +11,36 @@
 {
 
 thread_local long_step current_step;
+thread_local bool is_in_step = false;
 
 } // namespace
 
-void note_step_work(std::string_view work)
+measured_step::measured_step(step_times& times, std::string_view work)
+    : times_(times)
 {
-    current_step.count = current_step.work == work ? current_step.count + 1 : 1;
-    current_step.work = work;
+    note_step_work(work);
+    if (is_in_step)
+        return;
+    is_in_step = true;
+    is_outermost_ = true;
+    current_step.count = 1;
+    began_ = thread_processor_time();
 }
 
-void run_measured(boost::asio::io_context& loop, step_times& times)
+measured_step::~measured_step()
 {
-    duration before = thread_processor_time();
+    if (!is_outermost_)
+        return;
+    is_in_step = false;
+    current_step.processor_time = thread_processor_time() - began_;
+    record_step(times_, current_step);
     current_step = {};
-    while (loop.run_one() > 0)
-    {
-        const duration after = thread_processor_time();
-        current_step.processor_time = after - before;
-        record_step(times, current_step);
-        before = after;
-        current_step = {};
-    }
+}
+
+void note_step_work(std::string_view work)
+{
+    current_step.count = current_step.work == work ? current_step.count + 1 : 1;
+    current_step.work = work;
 }
 
 void record_step(step_times& times, const long_step& step)
--- a/src/base/step_times.hpp
+++ b/src/base/step_times.hpp
@@ -1,11 +1,9 @@
-// Processor time of the handlers of an event loop that has deadlines: while a
+// Processor time of the handlers of a thread that has deadlines: while a
 // handler runs, no timer of its thread fires and no message is answered.
 #pragma once
 
 #include <bergamotusher/time.hpp>
 
-#include <boost/asio/io_context.hpp>
-
 #include <array>
 #include <atomic>
 #include <cstdint>
@@ -25,8 +23,7 @@
 struct long_step
 {
     duration processor_time{};
-    /// What the step did last, and how often in this step; empty if no work was
-    /// noted.
+    /// What the step did last, and how often in a row; string literals.
     std::string_view work;
     std::uint64_t count = 0;
 };
@@ -45,13 +42,25 @@
     std::atomic<std::int64_t> longest_us{0};
 };
 
-/// Names what the running step does, for `on_long_step`. `work` must be a
-/// string literal. Has no effect on threads without `run_measured`.
-void note_step_work(std::string_view work);
+/// Measures a handler of the calling thread from its construction to its
+/// destruction. One inside another belongs to the same step.
+class measured_step
+{
+public:
+    measured_step(step_times& times, std::string_view work);
+    ~measured_step();
+    measured_step(const measured_step&) = delete;
+    measured_step& operator=(const measured_step&) = delete;
 
-/// Runs `loop` until it is stopped or out of work, and records each handler in
-/// `times`.
-void run_measured(boost::asio::io_context& loop, step_times& times);
+private:
+    step_times& times_;
+    bool is_outermost_ = false;
+    duration began_{};
+};
+
+/// Names what the running step does, for `on_long_step`; `work` must be a
+/// string literal.
+void note_step_work(std::string_view work);
 
 void record_step(step_times& times, const long_step& step);
 
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -164,6 +164,7 @@
 
 void handle_peer_message(control_duty& duty, incoming_message&& message)
 {
+    const measured_step step(duty.steps, "handled a message of a peer");
     if (message.kind == wire::proposal)
     {
         accept_forwarded_proposal(duty, message);
@@ -182,6 +183,7 @@
     // A report of an earlier start does not concern the present storage.
     if (report.generation != duty.generation)
         return;
+    const measured_step step(duty.steps, "handled a report of the storage");
     send_unsent_writes(duty);
     {
         const std::lock_guard lock(duty.status_mutex);
@@ -260,6 +262,7 @@
 
 void on_timer(control_duty& duty)
 {
+    const measured_step step(duty.steps, "did what was due");
     const time_point now = steady_now();
     if (consensus::next_tick(duty.core) <= now)
         step_core(duty, consensus::tick{});
--- a/src/daemon/control_proposals.cpp
+++ b/src/daemon/control_proposals.cpp
@@ -252,6 +252,7 @@
         duty.loop,
         [&duty]
         {
+            const measured_step step(duty.steps, "passed proposals on");
             duty.flush_scheduled = false;
             flush_proposals(duty);
         });
--- a/src/daemon/control_start.cpp
+++ b/src/daemon/control_start.cpp
@@ -148,7 +148,7 @@
         {
             const auto guard = boost::asio::make_work_guard(duty.loop);
             on_timer(duty);
-            run_measured(duty.loop, duty.steps);
+            duty.loop.run();
         });
     return std::nullopt;
 }
--- a/src/site/control_directory.cpp
+++ b/src/site/control_directory.cpp
@@ -266,6 +266,7 @@
 
 void control_service::on_directory(const incoming_message& message)
 {
+    const measured_step step(steps_, "read a directory");
     const auto directory = decode_directory(message.body);
     if (!directory)
         return;
--- a/src/site/control_process.cpp
+++ b/src/site/control_process.cpp
@@ -1,7 +1,6 @@
 #include "site/control_process.hpp"
 
 #include "base/clock.hpp"
-#include "base/step_times.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -65,7 +64,6 @@
     boost::asio::io_context loop_{1};
     boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
-    step_times loop_steps_;
     peers_duty_ptr peers_;
     control_service service_;
     control_handle control_;
@@ -176,7 +174,7 @@
                 .with("count", step.count),
             uptime());
     };
-    loop_steps_.on_long_step = [log_long_step](const long_step& step)
+    service_.steps().on_long_step = [log_long_step](const long_step& step)
     {
         log_long_step("loop", step);
     };
@@ -196,7 +194,11 @@
             [this](
                 http_request&& request,
                 const std::shared_ptr<http_exchange>& exchange)
-            { protocol_.serve(service_, std::move(request), exchange); }));
+            {
+                const measured_step step(
+                    service_.steps(), "served an HTTP request");
+                protocol_.serve(service_, std::move(request), exchange);
+            }));
     if (settings.metrics_port && !settings.api_addresses.empty())
         metrics_ = std::make_unique<http_server>(
             loop_,
@@ -248,7 +250,7 @@
     service_.start();
     await_signal();
     check();
-    run_measured(loop_, loop_steps_);
+    loop_.run();
     stop(*peers_);
     stop(*control_);
     log_.write(
@@ -288,6 +290,7 @@
     if (now < restart_at_)
         return;
     restart_at_ = now + storage_restart_interval;
+    note_step_work("opened the data folder");
     stop(*control_);
     storage_failed_ = false;
     if (bergamotusher::start(*control_))
@@ -306,6 +309,7 @@
 
 void control_process::check()
 {
+    const measured_step step(service_.steps(), "checked the process");
     const time_point now = uptime();
     restart_storage(now);
     if (now >= reload_at_)
@@ -342,7 +346,7 @@
     std::ostringstream out;
     out << service_.metrics();
     write_step_times_header(out);
-    write_step_times(out, "loop", loop_steps_);
+    write_step_times(out, "loop", service_.steps());
     write_step_times(out, "control", steps_of(*control_));
     return out.str();
 }
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -1,7 +1,6 @@
 #include "site/control_service.hpp"
 
 #include "base/clock.hpp"
-#include "base/step_times.hpp"
 #include "site/entry_load.hpp"
 #include "site/site_codec.hpp"
 #include "wire/site.pb.h"
@@ -161,7 +160,7 @@
 
 void control_service::on_state_changed()
 {
-    note_step_work("read the replicated state");
+    const measured_step step(steps_, "read the replicated state");
     const std::uint64_t version_before = site_.version;
     const auto moves_before = site_.moves;
     const departure_map departures_before = std::move(site_.departures);
@@ -219,6 +218,7 @@
 
 void control_service::on_proposal_answer(const proposal_answer& answer)
 {
+    const measured_step step(steps_, "answered a change");
     const auto found = pending_.find(answer.ticket);
     if (found == pending_.end())
         return;
@@ -294,6 +294,7 @@
 
 void control_service::on_entry_report(const incoming_message& message)
 {
+    const measured_step step(steps_, "read an entry's report");
     pb::entry_report report;
     if (!report.ParseFromString(message.body))
         return;
@@ -440,6 +441,7 @@
 
 void control_service::tick()
 {
+    const measured_step step(steps_, "did what was due");
     const time_point now = uptime();
     expire_changes(now);
     update_leadership();
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -11,6 +11,7 @@
 #include "admission/shared_limit.hpp"
 #include "base/mailbox.hpp"
 #include "base/shared_clock.hpp"
+#include "base/step_times.hpp"
 #include "daemon/control_duty.hpp"
 #include "daemon/peers_duty.hpp"
 #include "observe/decision_log.hpp"
@@ -196,6 +197,15 @@
     bool ready() const;
     /// Metrics in the Prometheus text format.
     std::string metrics() const;
+    /// Times of the steps of the loop, other handlers of the loop included.
+    step_times& steps()
+    {
+        return steps_;
+    }
+    const step_times& steps() const
+    {
+        return steps_;
+    }
 
 private:
     struct entry_load;
@@ -248,6 +258,7 @@
     void send(const node_id& to, wire::message_kind kind, std::string body);
 
     boost::asio::io_context& loop_;
+    step_times steps_;
     boost::asio::steady_timer timer_;
     control_service_options options_;
     observe::decision_log& log_;
