--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -56,11 +56,16 @@
     /// refused.
     std::size_t uncommitted = 4096;
     /// Entries kept below a snapshot, so that followers slightly behind need no
-    /// snapshot.
+    /// snapshot; of large entries fewer, as many as fit `kept_bytes`.
     std::size_t kept_entries = 256;
     /// A learner at most this many entries behind the commit index is caught up
     /// and can be promoted.
     std::size_t caught_up_lag = 64;
+    std::size_t kept_bytes = std::size_t{512} * 1024;
+    /// Entries and bytes that one step applies, at least one entry: between
+    /// steps the replica answers messages and sends heartbeats.
+    std::size_t apply_entries = 16;
+    std::size_t apply_bytes = std::size_t{256} * 1024;
     std::size_t wanted_voters = 3;
     /// Every member that is heard from becomes a voter; `wanted_voters` is then
     /// the size of the first set of voters and the least number aimed for.
--- a/src/consensus/snapshots.cpp
+++ b/src/consensus/snapshots.cpp
@@ -43,14 +43,29 @@
     return token;
 }
 
+/// The index up to which the log below a snapshot at `index` is removed.
+log_index compaction_target(const replica& replica, log_index index)
+{
+    const limits& limits = replica.options.limits;
+    std::size_t entries = 0;
+    std::size_t bytes = 0;
+    while (index > replica.log.base_index && entries < limits.kept_entries)
+    {
+        bytes += size_of(entry_at(replica.log, index));
+        if (bytes > limits.kept_bytes)
+            break;
+        ++entries;
+        --index;
+    }
+    return index;
+}
+
 /// Makes the synced local snapshot the base and compacts the log, except for
-/// the `kept_entries` below it.
+/// some entries below it.
 void complete_local_snapshot(replica& replica)
 {
-    const log_index index = replica.pending_snapshot->index;
     replica.base = std::move(replica.pending_snapshot);
-    const log_index kept = replica.options.limits.kept_entries;
-    const log_index target = index > kept ? index - kept : 0;
+    const log_index target = compaction_target(replica, replica.base->index);
     if (target > replica.log.base_index)
         compact_to(replica.log, target);
     trim_memberships(replica);
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -48,6 +48,8 @@
 {
     std::string result;
     note_step_work("applied entries");
+    ++duty.since_snapshot.entries;
+    duty.since_snapshot.bytes += consensus::size_of(entry);
     if (entry.kind == consensus::entry_kind::command)
         result = duty.machine.apply(entry.index, entry.command);
     else if (entry.kind == consensus::entry_kind::members)
@@ -60,7 +62,8 @@
     static const std::string empty_state;
     note_step_work("restored a snapshot");
     duty.machine.restore(value.index, value.data ? *value.data : empty_state);
-    duty.last_snapshot_index = value.index;
+    duty.since_snapshot = {
+        0, 0, value.data ? value.data->size() : std::size_t{0}};
     answer_replaced_by_snapshot(duty, value.index);
     const std::lock_guard lock(duty.status_mutex);
     ++duty.status.snapshots_installed;
@@ -128,22 +131,20 @@
 
 void take_snapshot_if_due(control_duty& duty)
 {
-    const std::uint64_t applied = duty.core.applied;
-    if (applied <
-            duty.last_snapshot_index + duty.options.entries_per_snapshot ||
+    if (!consensus::is_snapshot_due(
+            duty.options.snapshots, duty.since_snapshot) ||
         duty.core.pending_snapshot || duty.core.installing_snapshot ||
         duty.core.role == role::halted)
         return;
-    duty.last_snapshot_index = applied;
+    note_step_work("took a snapshot");
+    auto state = std::make_shared<const std::string>(duty.machine.snapshot());
+    duty.since_snapshot = {0, 0, state->size()};
     {
         const std::lock_guard lock(duty.status_mutex);
         ++duty.status.snapshots_taken;
     }
     step_core(
-        duty,
-        consensus::snapshot_taken{
-            applied,
-            std::make_shared<const std::string>(duty.machine.snapshot())});
+        duty, consensus::snapshot_taken{duty.core.applied, std::move(state)});
 }
 
 /// Rearms the timer if it would fire later than the next check for expired
--- a/src/daemon/control_duty.hpp
+++ b/src/daemon/control_duty.hpp
@@ -18,6 +18,7 @@
 #include "base/step_times.hpp"
 #include "consensus/file_functions.hpp"
 #include "consensus/replica.hpp"
+#include "consensus/snapshot_policy.hpp"
 #include "daemon/peers_duty.hpp"
 
 #include <bergamotusher/control.hpp>
@@ -65,8 +66,7 @@
     consensus::limits limits;
     /// Seed of the election timeouts; 0 draws one at random.
     std::uint64_t seed = 0;
-    /// Entries applied between two snapshots.
-    std::uint64_t entries_per_snapshot = 1000;
+    consensus::snapshot_policy snapshots;
     /// Time after a confirmation for which an entry may accept new requests
     /// under the configuration.
     duration configuration_lease = 3s;
--- a/src/daemon/control_start.cpp
+++ b/src/daemon/control_start.cpp
@@ -93,7 +93,8 @@
 {
     const consensus::snapshot& base = opened.state.base;
     duty.machine.restore(base.index, base.data ? *base.data : std::string());
-    duty.last_snapshot_index = base.index;
+    duty.since_snapshot = {
+        0, 0, base.data ? base.data->size() : std::size_t{0}};
     duty.core = consensus::make_replica(
         replica_options_of(duty.options, opened.storage.storage_id),
         std::move(opened.state),
--- a/src/daemon/control_state.hpp
+++ b/src/daemon/control_state.hpp
@@ -102,7 +102,10 @@
     /// Writes that wait because the storage queue was full.
     std::deque<consensus::storage_write> unsent_writes;
     bool orders_allowed = false;
-    std::uint64_t last_snapshot_index = 0;
+    /// What was applied since the last snapshot, and the size of that.
+    consensus::snapshot_progress since_snapshot;
+    /// The step that applies more committed entries is posted.
+    bool apply_scheduled = false;
 
     // Proposals.
     std::deque<pending_proposal> pending;
--- a/tests/control/control_duty_test.cpp
+++ b/tests/control/control_duty_test.cpp
@@ -110,7 +110,7 @@
 TEST_CASE("a node that was stopped catches up from a snapshot")
 {
     cluster all;
-    all.entries_per_snapshot = 50;
+    all.snapshots.max_entries = 50;
     make_nodes(all, 3);
     start_all(all);
     const std::size_t leader = wait_for_leader(all);
@@ -128,7 +128,7 @@
         [&]
         {
             return status_of(*all.members[leader]->control).snapshot_index >=
-                   600 - all.entries_per_snapshot;
+                   600 - all.snapshots.max_entries;
         }));
     start_member(all, away);
     CHECK(wait_until_applied(all, away, 600));
@@ -145,7 +145,7 @@
 TEST_CASE("a replica is ready in under a second after 1,000 changes")
 {
     cluster all;
-    all.entries_per_snapshot = 1'000'000;
+    all.snapshots.max_entries = 1'000'000;
     make_nodes(all, 3);
     start_all(all);
     const std::size_t leader = wait_for_leader(all);
--- a/tests/control/full_disks_test.cpp
+++ b/tests/control/full_disks_test.cpp
@@ -95,7 +95,7 @@
     std::array<node_disk, node_count> disks;
     cluster all;
     // Snapshots and new segments meet the full disk too.
-    all.entries_per_snapshot = 15;
+    all.snapshots.max_entries = 15;
     make_nodes(all, node_count);
     for (std::size_t i = 0; i < node_count; ++i)
         start_member(
--- a/tests/control/local_cluster.hpp
+++ b/tests/control/local_cluster.hpp
@@ -141,7 +141,7 @@
     std::vector<peer_address> nodes;
     std::vector<std::unique_ptr<member>> members;
     consensus::timing timing = short_timing();
-    std::uint64_t entries_per_snapshot = 1000;
+    consensus::snapshot_policy snapshots;
     duration configuration_lease = 600ms;
     std::uint64_t starts = 0;
     std::function<state_machine(observed&)> machine = list_machine;
@@ -182,7 +182,7 @@
     options.nodes = all.nodes;
     options.data_dir = data_dir(all, index);
     options.timing = all.timing;
-    options.entries_per_snapshot = all.entries_per_snapshot;
+    options.snapshots = all.snapshots;
     options.configuration_lease = all.configuration_lease;
     options.confirmation_interval = all.configuration_lease / 4;
     return options;
--- /dev/null
+++ b/tests/control/long_history_test.cpp
@@ -0,0 +1,107 @@
+// Guards against a start that takes as long as the history was.
+#include "control/local_cluster.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace local_cluster;
+
+namespace
+{
+
+/// A state machine that keeps the last command, and takes `apply_time` for
+/// each.
+state_machine last_command_machine(observed& seen, duration apply_time)
+{
+    state_machine machine = list_machine(seen);
+    const auto store = [&seen](const std::string& command)
+    {
+        const std::lock_guard lock(seen.mutex);
+        seen.applied = {command};
+        seen.changed.notify_all();
+        return std::string();
+    };
+    machine.apply =
+        [store, apply_time](std::uint64_t, const std::string& command)
+    {
+        if (apply_time > 0s)
+            std::this_thread::sleep_for(apply_time);
+        return store(command);
+    };
+    machine.snapshot = [&seen]
+    {
+        const std::lock_guard lock(seen.mutex);
+        return seen.applied.empty() ? std::string() : seen.applied.front();
+    };
+    machine.restore = [store](std::uint64_t, const std::string& bytes)
+    {
+        store(bytes);
+    };
+    return machine;
+}
+
+void make_cluster(cluster& all, std::size_t count, duration apply_time)
+{
+    all.machine = [apply_time](observed& seen)
+    {
+        return last_command_machine(seen, apply_time);
+    };
+    make_nodes(all, count);
+    for (std::size_t i = 0; i < count; ++i)
+        start_member(all, i);
+}
+
+bool wait_for_last(
+    cluster& all, std::size_t index, const std::string& last, duration limit)
+{
+    observed& seen = all.members[index]->seen;
+    return wait_for(
+        seen,
+        limit,
+        [&] { return !seen.applied.empty() && seen.applied.front() == last; });
+}
+
+std::uintmax_t bytes_on_disk(const std::string& folder)
+{
+    std::uintmax_t bytes = 0;
+    for (const auto& file : std::filesystem::directory_iterator(folder))
+        bytes += file.file_size();
+    return bytes;
+}
+
+} // namespace
+
+TEST_CASE("what is kept of large changes follows the size of the state")
+{
+    constexpr std::size_t change_bytes = std::size_t{150} * 1024;
+    constexpr std::uint64_t changes = 200;
+    cluster all;
+    make_cluster(all, 1, 0s);
+    wait_for_leader(all);
+    const auto change = [&](std::uint64_t number)
+    {
+        std::string text = std::to_string(number) + " ";
+        text.resize(change_bytes, 'x');
+        return text;
+    };
+    for (std::uint64_t i = 1; i <= changes; ++i)
+        REQUIRE(
+            propose_and_wait(*all.members[0], i, change(i)).outcome ==
+            proposal_outcome::committed);
+
+    // Once for the state, four times for the log above it, twice for what is
+    // kept and what is being written.
+    constexpr std::size_t max_bytes = 8 * 1024 * 1024;
+    CHECK(status_of(*all.members[0]->control).log_bytes < max_bytes);
+    CHECK(bytes_on_disk(data_dir(all, 0)) < max_bytes);
+
+    SECTION("so that a start reads no more than that")
+    {
+        stop_all(all);
+        start_member(all, 0);
+        CHECK(status_of(*all.members[0]->control).opened_bytes < max_bytes);
+        CHECK(wait_for_last(all, 0, change(changes), 5s));
+    }
+    stop_all(all);
+}
