A replica applies a long log in pieces

Cause: the first commit index after a start made one step of the control thread apply the whole log, and nothing else runs on that thread. Answers and the new commit index are sent before entries are applied.

The safety tests play with steps of one to three entries.

--- a/src/consensus/follower.cpp
+++ b/src/consensus/follower.cpp
@@ -77,13 +77,26 @@
         replica.memberships.emplace_back(entry.index, entry.members);
 }
 
+bool has_unapplied(const replica& replica)
+{
+    return replica.role != role::halted &&
+           replica.applied < std::min(replica.commit, replica.synced_index);
+}
+
 void apply_committed(replica& replica, actions& out)
 {
-    const log_index end = std::min(replica.commit, replica.synced_index);
-    while (replica.applied < end)
+    const limits& limits = replica.options.limits;
+    std::size_t entries = 0;
+    std::size_t bytes = 0;
+    while (has_unapplied(replica) && entries < limits.apply_entries)
     {
+        const entry& next = entry_at(replica.log, replica.applied + 1);
+        bytes += size_of(next);
+        if (entries > 0 && bytes > limits.apply_bytes)
+            return;
+        ++entries;
         ++replica.applied;
-        out.emplace_back(apply{entry_at(replica.log, replica.applied)});
+        out.emplace_back(apply{next});
     }
 }
 
@@ -125,8 +138,8 @@
         replica.log.base_index);
     replica.commit =
         std::max(replica.commit, std::min(request.commit, reply.match));
-    apply_committed(replica, out);
     send_after_sync(replica, out, from, reply);
+    apply_committed(replica, out);
 }
 
 } // namespace bergamotusher::consensus
--- a/src/consensus/internal.hpp
+++ b/src/consensus/internal.hpp
@@ -87,7 +87,8 @@
 void append_as_leader(replica& replica, entry entry);
 /// Puts the membership in force if `entry` holds one.
 void record_membership(replica& replica, const entry& entry);
-/// Emits `apply` for entries that are committed and synced here.
+/// Emits `apply` for entries that are committed and synced here, up to the
+/// limits on one step.
 void apply_committed(replica& replica, actions& out);
 /// Advances the commit index to the highest index that a quorum holds, if that
 /// entry is of the own term. A leader that its own committed change removed as
--- a/src/consensus/leader.cpp
+++ b/src/consensus/leader.cpp
@@ -255,8 +255,8 @@
         term_at(replica.log, index) != replica.hard.term)
         return;
     replica.commit = index;
-    apply_committed(replica, out);
     notify_idle_followers(replica, out, now);
+    apply_committed(replica, out);
     if (members_committed(replica) &&
         !is_voter(members_of(replica), replica.options.self))
         become_follower(replica, out, replica.hard.term, {}, now);
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -134,6 +134,7 @@
                 replica.silent_since.erase(in.from);
                 std::visit(
                     [&](const auto& content)
+            [&](const apply_more&) { apply_committed(replica, out); },
                     { handle(replica, out, in.from, content, now); },
                     in.content);
             },
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -229,6 +229,12 @@
 struct received
 {
     node_id from;
+/// Applies more of the entries that are committed and synced; given as long as
+/// `has_unapplied` holds.
+struct apply_more
+{
+};
+
     message content;
 };
 
@@ -285,6 +291,7 @@
     received,
     propose,
     change_members,
+    apply_more,
     configure_nodes,
     prepare_to_leave,
     storage_synced,
@@ -400,6 +407,12 @@
 /// The time at which the next `tick` is due.
 time_point next_tick(const replica& replica);
 
+/// True if the last step left committed entries for `apply_more`.
+bool has_unapplied(const replica& replica);
+
+/// Bytes of the entries that are not committed.
+std::size_t uncommitted_bytes(const replica& replica);
+
 /// The membership in force.
 const membership& members_of(const replica& replica);
 
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace bergamotusher
 {
@@ -147,6 +148,22 @@
         duty, consensus::snapshot_taken{duty.core.applied, std::move(state)});
 }
 
+/// Applies the committed entries that the last step left, behind the messages
+/// and timers that are due by now.
+void schedule_apply(control_duty& duty)
+{
+    if (std::exchange(duty.apply_scheduled, true))
+        return;
+    boost::asio::post(
+        duty.loop,
+        [&duty]
+        {
+            const measured_step step(duty.steps, "applied entries");
+            duty.apply_scheduled = false;
+            step_core(duty, consensus::apply_more{});
+        });
+}
+
 /// Rearms the timer if it would fire later than the next check for expired
 /// proposals.
 void ensure_expiry_check(control_duty& duty)
@@ -306,6 +323,8 @@
     publish_status(duty);
     complete_confirmation(duty);
     take_snapshot_if_due(duty);
+    if (consensus::has_unapplied(duty.core))
+        schedule_apply(duty);
     if (!duty.pending.empty())
         schedule_flush(duty);
     if (consensus::next_tick(duty.core) < previous_tick)
--- a/src/daemon/control_start.cpp
+++ b/src/daemon/control_start.cpp
@@ -84,6 +84,7 @@
     duty.accepted_remote.clear();
     duty.current_confirmation.reset();
     duty.orders_allowed = false;
+    duty.apply_scheduled = false;
     const std::lock_guard lock(duty.status_mutex);
     duty.status.role = role::follower;
     duty.status.failed.reset();
--- a/tests/consensus/replica_step_test.cpp
+++ b/tests/consensus/replica_step_test.cpp
@@ -344,3 +344,59 @@
     CHECK(members_of(core).learners.empty());
     CHECK(members_of(core).voters.size() == 3);
 }
+
+TEST_CASE("a step applies a bounded part of a long log")
+{
+    constexpr log_index last = 40;
+    recovered_state stored = admitted_state(1);
+    for (log_index i = 1; i <= last; ++i)
+        stored.entries.push_back(command_entry(1, i));
+    const std::size_t most = limits{}.apply_entries;
+    replica core = make_leader(std::move(stored), start + 5s);
+    const time_point now = start + 6s;
+    std::vector<actions> steps;
+    const auto apply_rest = [&]
+    {
+        while (has_unapplied(core))
+            steps.push_back(step(core, apply_more{}, now));
+    };
+
+    SECTION("and the others are applied with further steps, in order")
+    {
+        steps.push_back(
+            step(core, received{{"n1"}, accepting_reply(2, last + 1)}, now));
+        CHECK(has_unapplied(core));
+        apply_rest();
+        log_index expected = 1;
+        for (const actions& each : steps)
+        {
+            const auto applied = actions_of<apply>(each);
+            CHECK(applied.size() <= most);
+            for (const apply& item : applied)
+                CHECK(item.value.index == expected++);
+        }
+        CHECK(core.applied == last + 1);
+    }
+    SECTION("of large entries fewer, but at least one")
+    {
+        const std::string large(limits{}.apply_bytes + 1, 'x');
+        for (entry& each : core.log.entries)
+            each.command = large;
+        steps.push_back(
+            step(core, received{{"n1"}, accepting_reply(2, last + 1)}, now));
+        apply_rest();
+        for (const actions& each : steps)
+            CHECK(actions_of<apply>(each).size() == 1);
+        CHECK(core.applied == last + 1);
+    }
+    SECTION("and between them it sends heartbeats and answers")
+    {
+        step(core, received{{"n1"}, accepting_reply(2, last + 1)}, now);
+        REQUIRE(has_unapplied(core));
+        const actions beat = step(core, tick{}, now + 1s);
+        CHECK(messages_in<append_request>(beat).size() == 2);
+        const actions asked =
+            step(core, received{{"n2"}, freshness_query{7}}, now + 1s);
+        CHECK(messages_in<freshness_answer>(asked).size() == 1);
+    }
+}
--- a/tests/consensus/safety_test.cpp
+++ b/tests/consensus/safety_test.cpp
@@ -164,6 +164,7 @@
     net.snapshot_every = 10;
     net.limits.wanted_voters = count == 5 ? 5 : 3;
     net.limits.kept_entries = 3;
+    net.limits.apply_entries = 1 + seed % 3;
     net.limits.chunk_bytes = 5;
     for (std::size_t i = 0; i < count; ++i)
         start_node(net, i);
--- a/tests/consensus/virtual_network.cpp
+++ b/tests/consensus/virtual_network.cpp
@@ -309,6 +309,8 @@
         finish_syncs(net, i);
         if (next_tick(node.core) <= local_now(net, node))
             step_node(net, i, tick{});
+        if (has_unapplied(node.core))
+            step_node(net, i, apply_more{});
         take_snapshot_if_due(net, i);
     }
 }
--- a/tests/control/long_history_test.cpp
+++ b/tests/control/long_history_test.cpp
@@ -1,4 +1,7 @@
-// Guards against a start that takes as long as the history was.
+// Guards against a start that takes as long as the history was: hundreds of
+// changes were applied in one step of the control thread, which sent no
+// heartbeat and granted no vote meanwhile, so that each leader lost its term to
+// the next one.
 #include "control/local_cluster.hpp"
 
 #include <catch2/catch.hpp>
@@ -62,6 +65,13 @@
         [&] { return !seen.applied.empty() && seen.applied.front() == last; });
 }
 
+bool wait_for_confirmation(cluster& all, std::size_t index, duration limit)
+{
+    observed& seen = all.members[index]->seen;
+    return wait_for(
+        seen, limit, [&] { return seen.configuration_until > now(); });
+}
+
 std::uintmax_t bytes_on_disk(const std::string& folder)
 {
     std::uintmax_t bytes = 0;
@@ -72,6 +82,44 @@
 
 } // namespace
 
+TEST_CASE("a leader keeps its term while it replays a long history")
+{
+    constexpr std::size_t nodes = 3;
+    constexpr std::uint64_t changes = 700;
+    cluster all;
+    make_cluster(all, nodes, 0s);
+    const std::size_t leader = wait_for_leader(all);
+    for (std::uint64_t i = 1; i <= changes; ++i)
+        propose(
+            *all.members[leader]->proposer,
+            {i, "c" + std::to_string(i), now() + 10s});
+    const std::string last = "c" + std::to_string(changes);
+    for (std::size_t i = 0; i < nodes; ++i)
+        REQUIRE(wait_for_last(all, i, last, 10s));
+    const std::uint64_t term_before =
+        status_of(*all.members[leader]->control).term;
+    stop_all(all);
+
+    // The replay takes several times the election timeout.
+    constexpr duration apply_time = 4ms;
+    all.machine = [](observed& seen)
+    {
+        return last_command_machine(seen, apply_time);
+    };
+    for (std::size_t i = 0; i < nodes; ++i)
+        start_member(all, i);
+    for (std::size_t i = 0; i < nodes; ++i)
+    {
+        CHECK(wait_for_last(all, i, last, 10s));
+        CHECK(wait_for_confirmation(all, i, 5s));
+    }
+    const std::uint64_t terms_begun =
+        status_of(*all.members[0]->control).term - term_before;
+    // Elections after the start may be split.
+    CHECK(terms_begun <= 3);
+    stop_all(all);
+}
+
 TEST_CASE("what is kept of large changes follows the size of the state")
 {
     constexpr std::size_t change_bytes = std::size_t{150} * 1024;
