Uncommitted changes are bounded by their bytes

Found while looking for the cause of the configuration that does not come: a leader without a quorum appended each resend of a large change, up to 4,096 of them; 60 changes of 1 MB took 63 MB. 8 MB are taken now, or one change of any size. What does not fit waits, and is answered as not committed at its deadline.

--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -68,8 +68,13 @@
     const log_index last = last_index(replica.log);
     if (!accepts_proposals(replica, now))
         return out.emplace_back(refused{error_kind::not_leader}), void();
+    std::size_t bytes = uncommitted_bytes(replica);
+    if (bytes > 0)
+        for (const std::string& command : input.commands)
+            bytes += command.size();
     if (last - replica.commit + input.commands.size() >
-        replica.options.limits.uncommitted)
+            replica.options.limits.uncommitted ||
+        bytes > replica.options.limits.uncommitted_bytes)
         return out.emplace_back(refused{error_kind::overloaded}), void();
     for (const std::string& command : input.commands)
         append_as_leader(replica, entry{.command = command, .members = {}});
@@ -129,12 +134,12 @@
                 else
                     tick_non_leader(replica, out, now);
             },
+            [&](const apply_more&) { apply_committed(replica, out); },
             [&](const received& in)
             {
                 replica.silent_since.erase(in.from);
                 std::visit(
                     [&](const auto& content)
-            [&](const apply_more&) { apply_committed(replica, out); },
                     { handle(replica, out, in.from, content, now); },
                     in.content);
             },
@@ -271,6 +276,14 @@
     return out;
 }
 
+std::size_t uncommitted_bytes(const replica& replica)
+{
+    std::size_t bytes = 0;
+    for (log_index i = last_index(replica.log); i > replica.commit; --i)
+        bytes += size_of(entry_at(replica.log, i));
+    return bytes;
+}
+
 time_point next_tick(const replica& replica)
 {
     if (replica.role == role::halted)
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -55,17 +55,20 @@
     /// Proposals that would exceed this number of uncommitted entries are
     /// refused.
     std::size_t uncommitted = 4096;
+    /// Proposals that would exceed this number of bytes of uncommitted entries
+    /// are refused, unless nothing is uncommitted.
+    std::size_t uncommitted_bytes = std::size_t{8} * 1024 * 1024;
     /// Entries kept below a snapshot, so that followers slightly behind need no
     /// snapshot; of large entries fewer, as many as fit `kept_bytes`.
     std::size_t kept_entries = 256;
-    /// A learner at most this many entries behind the commit index is caught up
-    /// and can be promoted.
-    std::size_t caught_up_lag = 64;
     std::size_t kept_bytes = std::size_t{512} * 1024;
     /// Entries and bytes that one step applies, at least one entry: between
     /// steps the replica answers messages and sends heartbeats.
     std::size_t apply_entries = 16;
     std::size_t apply_bytes = std::size_t{256} * 1024;
+    /// A learner at most this many entries behind the commit index is caught up
+    /// and can be promoted.
+    std::size_t caught_up_lag = 64;
     std::size_t wanted_voters = 3;
     /// Every member that is heard from becomes a voter; `wanted_voters` is then
     /// the size of the first set of voters and the least number aimed for.
@@ -226,15 +229,15 @@
 {
 };
 
-struct received
-{
-    node_id from;
 /// Applies more of the entries that are committed and synced; given as long as
 /// `has_unapplied` holds.
 struct apply_more
 {
 };
 
+struct received
+{
+    node_id from;
     message content;
 };
 
@@ -288,10 +291,10 @@
 
 using input = std::variant<
     tick,
+    apply_more,
     received,
     propose,
     change_members,
-    apply_more,
     configure_nodes,
     prepare_to_leave,
     storage_synced,
@@ -404,15 +407,15 @@
 /// not decrease.
 actions step(replica& replica, const input& input, time_point now);
 
-/// The time at which the next `tick` is due.
-time_point next_tick(const replica& replica);
-
 /// True if the last step left committed entries for `apply_more`.
 bool has_unapplied(const replica& replica);
 
 /// Bytes of the entries that are not committed.
 std::size_t uncommitted_bytes(const replica& replica);
 
+/// The time at which the next `tick` is due.
+time_point next_tick(const replica& replica);
+
 /// The membership in force.
 const membership& members_of(const replica& replica);
 
--- a/src/daemon/control_proposals.cpp
+++ b/src/daemon/control_proposals.cpp
@@ -71,20 +71,26 @@
     schedule_flush(duty);
 }
 
-/// Appends the pending proposals to the log as one batch, as far as the limit
-/// on uncommitted entries allows.
+/// Appends the pending proposals to the log as one batch, as far as the limits
+/// on uncommitted entries allow.
 void append_pending(control_duty& duty)
 {
     consensus::propose batch;
     std::vector<proposal_sender> senders;
     std::deque<pending_proposal> all = std::exchange(duty.pending, {});
+    const consensus::limits& limits = duty.options.limits;
     const std::uint64_t room =
-        duty.options.limits.uncommitted -
+        limits.uncommitted -
         std::min<std::uint64_t>(
             consensus::last_index(duty.core.log) - duty.core.commit,
-            duty.options.limits.uncommitted);
+            limits.uncommitted);
+    std::size_t bytes = consensus::uncommitted_bytes(duty.core);
     while (!all.empty() && batch.commands.size() < room)
     {
+        const std::size_t size = all.front().command.size();
+        if (bytes > 0 && bytes + size > limits.uncommitted_bytes)
+            break;
+        bytes += size;
         senders.push_back(std::move(all.front().sender));
         batch.commands.push_back(std::move(all.front().command));
         all.pop_front();
--- a/tests/control/long_history_test.cpp
+++ b/tests/control/long_history_test.cpp
@@ -153,3 +153,24 @@
     }
     stop_all(all);
 }
+
+TEST_CASE("changes that find no quorum do not fill the leader's memory")
+{
+    constexpr std::size_t change_bytes = std::size_t{1024} * 1024;
+    cluster all;
+    make_cluster(all, 3, 0s);
+    const std::size_t leader = wait_for_leader(all);
+    for (std::size_t i = 0; i < 3; ++i)
+        if (i != leader)
+            stop_member(all, i);
+    constexpr std::uint64_t changes = 60;
+    for (std::uint64_t i = 1; i <= changes; ++i)
+        propose(
+            *all.members[leader]->proposer,
+            {i, std::string(change_bytes, 'x'), now() + 200ms});
+    observed& seen = all.members[leader]->seen;
+    CHECK(wait_for(seen, 5s, [&] { return seen.answered == changes; }));
+    CHECK(
+        status_of(*all.members[leader]->control).log_bytes < 20 * change_bytes);
+    stop_all(all);
+}
