A change of the site is parsed outside the lock and told once

Cause: the control thread parsed each configuration under the lock of the store and took the lock again at once, and each entry posted an event that copied the state. A command is decoded, parsed, checked and indexed before the lock is taken; one look at the state covers all changes until then; readers share one copy between two changes, and a confirmation without a change costs none.

--- a/src/site/control_directory.cpp
+++ b/src/site/control_directory.cpp
@@ -31,7 +31,7 @@
     const upstream& announcement, acknowledgement done)
 {
     const time_point now = uptime();
-    if (is_outdated(site_.departures, announcement))
+    if (is_outdated(site_->departures, announcement))
         return done(true);
     if (announcement.state == upstream_state::ready)
     {
@@ -56,7 +56,7 @@
         return;
     for (const auto& [id, announcement] :
          std::exchange(held_announcements_, {}))
-        if (!is_outdated(site_.departures, announcement))
+        if (!is_outdated(site_->departures, announcement))
             merge_announcement(announcement, now);
 }
 
@@ -121,7 +121,7 @@
 void control_service::record_departure(
     const upstream_id& id, const departure& value, acknowledgement done)
 {
-    if (is_recorded(site_.departures, id, value))
+    if (is_recorded(site_->departures, id, value))
         return done(true);
     propose_change(
         encode_record_departure(id, value, time_of_day()),
@@ -141,11 +141,11 @@
 void control_service::apply_departures(time_point now)
 {
     std::vector<upstream> changed;
-    for (const auto& [id, left] : site_.departures)
+    for (const auto& [id, left] : site_->departures)
     {
         const auto known = directory_.upstreams.find(id);
         if (known == directory_.upstreams.end() ||
-            !is_outdated(site_.departures, known->second.value))
+            !is_outdated(site_->departures, known->second.value))
             continue;
         upstream value = known->second.value;
         value.started_ms = left.started_ms;
@@ -272,7 +272,7 @@
         return;
     const time_point now = uptime();
     for (const auto& [value, age] : directory->upstreams)
-        if (!is_outdated(site_.departures, value) &&
+        if (!is_outdated(site_->departures, value) &&
             merge(directory_, value, now, age) == merge_outcome::changed)
             log_.write(
                 log_line(decision::upstream_changed)
--- a/src/site/control_duties.cpp
+++ b/src/site/control_duties.cpp
@@ -73,7 +73,7 @@
 
 void control_service::judge_moves(std::int64_t now_ms)
 {
-    for (const auto& [service, move] : site_.moves)
+    for (const auto& [service, move] : site_->moves)
     {
         if (move.state != move_state::active)
             continue;
@@ -112,14 +112,14 @@
     if (!options_.duties.report_usage || !may_act(now))
         return;
     for (const usage_window& window :
-         windows_to_close(options_.usage, usage_, site_.windows, now_ms))
+         windows_to_close(options_.usage, usage_, site_->windows, now_ms))
         if (closing_windows_.insert(window.number).second)
             propose_change(
                 encode_close_window(window, time_of_day()),
                 [this,
                  number = window.number](const std::optional<command_outcome>&)
                 { closing_windows_.erase(number); });
-    for (const usage_window& window : site_.windows)
+    for (const usage_window& window : site_->windows)
     {
         const std::int64_t ended_ms =
             static_cast<std::int64_t>(window.number + 1) *
@@ -151,13 +151,13 @@
 
 void control_service::send_rent_orders(time_point now)
 {
-    if (!options_.duties.rent || !may_act(now) || !site_.current)
+    if (!options_.duties.rent || !may_act(now) || !site_->current)
         return;
-    for (const service& each : site_.current->value.services)
+    for (const service& each : site_->current->value.services)
     {
         service_demand demand;
-        const auto move = site_.moves.find(each.name);
-        demand.is_moving = move != site_.moves.end() &&
+        const auto move = site_->moves.find(each.name);
+        demand.is_moving = move != site_->moves.end() &&
                            move->second.state == move_state::active;
         std::vector<routing::prefill_speed> speeds;
         for (const auto& [source, load] : entry_loads_)
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <utility>
 
 namespace bergamotusher::site
 {
@@ -51,7 +52,17 @@
     , log_(log)
     , store_(
           parse,
-          [this] { boost::asio::post(loop_, [this] { on_state_changed(); }); })
+          [this]
+          {
+              if (!state_change_posted_.exchange(true))
+                  boost::asio::post(
+                      loop_,
+                      [this]
+                      {
+                          state_change_posted_ = false;
+                          on_state_changed();
+                      });
+          })
     , flush_timer_(loop)
     , started_at_(uptime())
 {
@@ -161,32 +172,31 @@
 void control_service::on_state_changed()
 {
     const measured_step step(steps_, "read the replicated state");
-    const std::uint64_t version_before = site_.version;
-    const auto moves_before = site_.moves;
-    const departure_map departures_before = std::move(site_.departures);
-    confirmed_site newest = store_.read();
-    site_ = std::move(newest.state);
+    const confirmed_site newest = store_.read();
     site_confirmed_at_ = newest.confirmed_at;
+    const auto before = std::exchange(site_, newest.state);
+    if (site_ == before)
+        return;
     const time_point now = uptime();
-    if (site_.departures != departures_before)
+    if (site_->departures != before->departures)
         apply_departures(now);
-    if (site_.version != version_before)
+    if (site_->version != before->version)
     {
         limit_totals_.clear();
-        if (site_.current)
-            for (const account& each : site_.current->value.accounts)
+        if (site_->current)
+            for (const account& each : site_->current->value.accounts)
                 if (each.rate > 0)
                     limit_totals_[each.name] = admission::window_total(
                         options_.limits.bound, each.rate, each.burst);
         log_.write(
             log_line(decision::site_changed)
-                .with("version", site_.version)
-                .with("before", version_before)
-                .with("applied", site_.applied),
+                .with("version", site_->version)
+                .with("before", before->version)
+                .with("applied", site_->applied),
             now);
     }
-    if (site_.moves != moves_before)
-        for (const auto& [service, move] : site_.moves)
+    if (site_->moves != before->moves)
+        for (const auto& [service, move] : site_->moves)
             log_.write(
                 log_line(decision::move_changed)
                     .with("service", service.value)
@@ -196,7 +206,7 @@
                     .with("share", move.share)
                     .with("reason", move.reason),
                 now);
-    if (site_.version == version_before && site_.moves == moves_before)
+    if (site_->version == before->version && site_->moves == before->moves)
         return;
     // The leader tells entries at once; other nodes tell them in reply to their
     // next report.
@@ -274,22 +284,20 @@
         std::move(done));
 }
 
-std::optional<site_state> control_service::read() const
+std::shared_ptr<const site_state> control_service::read() const
 {
     const time_point now = uptime();
-    confirmed_site newest = store_.read();
+    const confirmed_site newest = store_.read();
     const auto age = age_of(newest.confirmed_at, now);
     const bool is_confirmed = age && *age <= options_.max_read_age;
     log_.write(
         log_line(decision::site_read)
-            .with("version", newest.state.version)
-            .with("applied", newest.state.applied)
+            .with("version", newest.state->version)
+            .with("applied", newest.state->applied)
             .with("confirmed_age_ms", age.value_or(duration(-1)))
             .with("outcome", is_confirmed ? "answered" : "unconfirmed"),
         now);
-    if (!is_confirmed)
-        return std::nullopt;
-    return std::move(newest.state);
+    return is_confirmed ? newest.state : nullptr;
 }
 
 void control_service::on_entry_report(const incoming_message& message)
@@ -379,21 +387,21 @@
     report.set_time_of_day_ms(time_of_day().milliseconds);
     const auto age = age_of(site_confirmed_at_, now);
     report.set_confirmed_age_us(age && asked_at_us != 0 ? age->count() : -1);
-    report.set_site_version(site_.version);
-    if (site_.content && should_send_site(
-                             options_.entry_sync,
-                             site_.version,
-                             entry.site_version,
-                             rank_for(to),
-                             entry.sync,
-                             now))
-        report.set_site(*site_.content);
+    report.set_site_version(site_->version);
+    if (site_->content && should_send_site(
+                              options_.entry_sync,
+                              site_->version,
+                              entry.site_version,
+                              rank_for(to),
+                              entry.sync,
+                              now))
+        report.set_site(*site_->content);
     report.set_directory_digest(directory_.digest);
     report.set_leader(status.leader.value);
     for (const node_id& node : control_nodes())
         report.add_members(node.value);
     report.add_members(options_.self.value);
-    for (const auto& [service, move] : site_.moves)
+    for (const auto& [service, move] : site_->moves)
         write(*report.add_moves(), move);
     std::uint32_t entries = 0;
     for (const auto& [id, each] : entries_)
@@ -548,7 +556,10 @@
         "Rounds of queries for a confirmation without a result.",
         status.abandoned_confirmations);
     line(
-        "site_version", "gauge", "Version of the site applied.", site_.version);
+        "site_version",
+        "gauge",
+        "Version of the site applied.",
+        site_->version);
     line("upstreams", "gauge", "Upstreams known.", directory_.upstreams.size());
     line(
         "upstreams_ready",
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -25,6 +25,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -173,9 +174,9 @@
         const version_name& target,
         std::int64_t duration_ms,
         change_callback done);
-    /// The newest state; nothing if this node cannot confirm that it is the
+    /// The newest state; null if this node cannot confirm that it is the
     /// newest.
-    std::optional<site_state> read() const;
+    std::shared_ptr<const site_state> read() const;
 
     // Upstreams.
     /// A departure, draining or gone, is accepted once the site's state holds
@@ -263,7 +264,11 @@
     control_service_options options_;
     observe::decision_log& log_;
     site_store store_;
-    site_state site_;
+    /// Set by the control thread: one look at the state covers all changes
+    /// until then.
+    std::atomic<bool> state_change_posted_{false};
+    std::shared_ptr<const site_state> site_ =
+        std::make_shared<const site_state>();
     /// The latest moment at which `site_` was the newest state; nothing if its
     /// replica was opened since.
     std::optional<time_point> site_confirmed_at_;
--- a/src/site/site_state.cpp
+++ b/src/site/site_state.cpp
@@ -20,11 +20,10 @@
     return {failure{kind, std::move(detail)}, state.version};
 }
 
-command_outcome apply_command(
+command_outcome replace(
     site_state& state,
-    configuration_parser parse,
     const pb::replace_site& from,
-    std::int64_t)
+    const prepared_command& prepared)
 {
     if (from.version() < state.version)
         return {std::nullopt, state.version};
@@ -38,23 +37,16 @@
             "version " + std::to_string(from.version()) +
                 " is held with another content");
     }
-    auto parsed = parse(from.content());
-    if (auto* wrong = std::get_if<failure>(&parsed))
-        return {std::move(*wrong), state.version};
-    auto& value = std::get<configuration>(parsed);
-    if (auto wrong = check(value))
-        return {std::move(*wrong), state.version};
+    if (const auto* wrong = std::get_if<failure>(&prepared.replacement))
+        return {*wrong, state.version};
     state.version = from.version();
     state.content = std::make_shared<const std::string>(from.content());
-    state.current = index_configuration(std::move(value));
+    state.current = std::get<0>(prepared.replacement);
     return {std::nullopt, state.version};
 }
 
 command_outcome apply_command(
-    site_state& state,
-    configuration_parser,
-    const pb::start_move& from,
-    std::int64_t now_ms)
+    site_state& state, const pb::start_move& from, std::int64_t now_ms)
 {
     const service_name service{from.service()};
     if (!state.current || find_service(*state.current, service) == nullptr)
@@ -73,11 +65,8 @@
     return {std::nullopt, state.version};
 }
 
-command_outcome apply_command(
-    site_state& state,
-    configuration_parser,
-    const pb::advance_move& from,
-    std::int64_t)
+command_outcome
+apply_command(site_state& state, const pb::advance_move& from, std::int64_t)
 {
     const auto found = state.moves.find({from.service()});
     if (found == state.moves.end() || found->second.number != from.number() ||
@@ -92,11 +81,8 @@
     return {std::nullopt, state.version};
 }
 
-command_outcome apply_command(
-    site_state& state,
-    configuration_parser,
-    const pb::close_window& from,
-    std::int64_t)
+command_outcome
+apply_command(site_state& state, const pb::close_window& from, std::int64_t)
 {
     for (const usage_window& each : state.windows)
         if (each.number == from.window())
@@ -129,33 +115,32 @@
 }
 
 command_outcome apply_command(
-    site_state& state,
-    configuration_parser,
-    const pb::record_departure& from,
-    std::int64_t now_ms)
+    site_state& state, const pb::record_departure& from, std::int64_t now_ms)
 {
     record_departure(state.departures, {from.upstream()}, read(from, now_ms));
     return {std::nullopt, state.version};
 }
 
-command_outcome apply_command(
-    site_state& state,
-    configuration_parser parse,
-    const pb::site_command& command)
+command_outcome
+apply_command(site_state& state, const prepared_command& prepared)
 {
+    if (prepared.message == nullptr)
+        return rejection(
+            state, error_kind::malformed_message, "the command cannot be read");
+    const pb::site_command& command = *prepared.message;
     const std::int64_t now_ms = command.time_of_day_ms();
     switch (command.body_case())
     {
     case pb::site_command::kReplace:
-        return apply_command(state, parse, command.replace(), now_ms);
+        return replace(state, command.replace(), prepared);
     case pb::site_command::kStart:
-        return apply_command(state, parse, command.start(), now_ms);
+        return apply_command(state, command.start(), now_ms);
     case pb::site_command::kAdvance:
-        return apply_command(state, parse, command.advance(), now_ms);
+        return apply_command(state, command.advance(), now_ms);
     case pb::site_command::kClose:
-        return apply_command(state, parse, command.close(), now_ms);
+        return apply_command(state, command.close(), now_ms);
     case pb::site_command::kDepart:
-        return apply_command(state, parse, command.depart(), now_ms);
+        return apply_command(state, command.depart(), now_ms);
     case pb::site_command::BODY_NOT_SET:
         break;
     }
@@ -195,21 +180,41 @@
 
 } // namespace
 
-std::string apply(
-    site_state& state,
+prepared_command prepare(
     configuration_parser parse,
-    std::uint64_t index,
+    std::uint64_t held_version,
     std::string_view command)
+{
+    const auto message = std::make_shared<pb::site_command>();
+    if (!message->ParseFromArray(
+            command.data(), static_cast<int>(command.size())))
+        return {};
+    prepared_command prepared;
+    if (message->has_replace() && message->replace().version() > held_version)
+    {
+        auto parsed = parse(message->replace().content());
+        if (auto* value = std::get_if<configuration>(&parsed))
+        {
+            if (auto wrong = check(*value))
+                prepared.replacement = std::move(*wrong);
+            else
+                prepared.replacement = index_configuration(std::move(*value));
+        }
+        else
+            prepared.replacement = std::move(std::get<failure>(parsed));
+    }
+    prepared.message = message;
+    return prepared;
+}
+
+std::string
+apply(site_state& state, std::uint64_t index, const prepared_command& command)
 {
     if (index <= state.applied)
         return encode_outcome(
             rejection(state, error_kind::fenced, "the index was applied"));
     state.applied = index;
-    pb::site_command message;
-    if (!message.ParseFromArray(
-            command.data(), static_cast<int>(command.size())))
-        message.Clear();
-    return encode_outcome(apply_command(state, parse, message));
+    return encode_outcome(apply_command(state, command));
 }
 
 std::string snapshot(const site_state& state)
--- a/src/site/site_state.hpp
+++ b/src/site/site_state.hpp
@@ -15,8 +15,14 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
+namespace bergamotusher::wire::site
+{
+class site_command;
+} // namespace bergamotusher::wire::site
+
 namespace bergamotusher::site
 {
 
@@ -90,13 +96,28 @@
     std::uint64_t version = 0;
 };
 
-/// Applies the command at log position `index`; returns the encoded result.
-std::string apply(
-    site_state& state,
+/// A command that was decoded and, if it replaces the configuration, checked:
+/// what takes long in applying it. Independent of the state.
+struct prepared_command
+{
+    /// Null if the command cannot be read.
+    std::shared_ptr<const wire::site::site_command> message;
+    /// The new configuration, or why it is invalid; null for other commands.
+    std::variant<std::shared_ptr<const indexed_configuration>, failure>
+        replacement;
+};
+
+/// `held_version` is the version of the state or an older one: a configuration
+/// that does not exceed it is not parsed.
+prepared_command prepare(
     configuration_parser parse,
-    std::uint64_t index,
+    std::uint64_t held_version,
     std::string_view command);
 
+/// Applies the command at log position `index`; returns the encoded result.
+std::string
+apply(site_state& state, std::uint64_t index, const prepared_command& command);
+
 std::string snapshot(const site_state& state);
 
 /// Replaces `state` by a snapshot; on `malformed_message` it stays unchanged.
--- a/src/site/site_store.cpp
+++ b/src/site/site_store.cpp
@@ -11,10 +11,14 @@
 
 std::string site_store::apply(std::uint64_t index, std::string_view command)
 {
+    // Only this thread changes the state, so that its version can be read
+    // without the lock. Parsing under the lock would block the readers.
+    const prepared_command prepared = prepare(parse_, state_.version, command);
     std::string result;
     {
         const std::lock_guard lock(mutex_);
-        result = site::apply(state_, parse_, index, command);
+        shared_.reset();
+        result = site::apply(state_, index, prepared);
     }
     on_change_();
     return result;
@@ -28,14 +32,19 @@
 
 std::error_code site_store::restore(std::string_view bytes)
 {
+    site_state restored;
+    const std::error_code error = bytes.empty()
+                                      ? std::error_code()
+                                      : site::restore(restored, parse_, bytes);
     {
         const std::lock_guard lock(mutex_);
         confirmed_at_.reset();
-        if (bytes.empty())
-            state_ = {};
-        else if (const auto error = site::restore(state_, parse_, bytes))
-            return error;
+        shared_.reset();
+        if (!error)
+            state_ = std::move(restored);
     }
+    if (error)
+        return error;
     on_change_();
     return {};
 }
@@ -52,7 +61,9 @@
 confirmed_site site_store::read() const
 {
     const std::lock_guard lock(mutex_);
-    return {state_, confirmed_at_};
+    if (!shared_)
+        shared_ = std::make_shared<const site_state>(state_);
+    return {shared_, confirmed_at_};
 }
 
 } // namespace bergamotusher::site
--- a/src/site/site_store.hpp
+++ b/src/site/site_store.hpp
@@ -19,7 +19,7 @@
 /// committed; nothing before the first confirmation since it was restored.
 struct confirmed_site
 {
-    site_state state;
+    std::shared_ptr<const site_state> state;
     std::optional<time_point> confirmed_at;
 };
 
@@ -38,7 +38,7 @@
     /// The present state holds everything that had been committed at `at`.
     void confirm(time_point at);
 
-    /// Returns a copy; the configuration is shared, not copied.
+    /// Reads without a change between them return the same copy.
     confirmed_site read() const;
 
 private:
@@ -46,6 +46,8 @@
     std::function<void()> on_change_;
     mutable std::mutex mutex_;
     site_state state_;
+    /// The copy of `state_` that readers share; null since the last change.
+    mutable std::shared_ptr<const site_state> shared_;
     std::optional<time_point> confirmed_at_;
 };
 
--- a/tests/control/control_node.hpp
+++ b/tests/control/control_node.hpp
@@ -78,6 +78,19 @@
         return state ? std::optional(state->version) : std::nullopt;
     }
 
+    /// Entries that the replica has applied, whatever the service knows.
+    std::uint64_t applied() const
+    {
+        return status_of(*control_).applied;
+    }
+
+    /// Runs the handlers that are due, and returns their number.
+    std::size_t run_due_handlers()
+    {
+        loop_.restart();
+        return loop_.poll();
+    }
+
     void run_for(duration span)
     {
         loop_.restart();
--- a/tests/control/long_history_test.cpp
+++ b/tests/control/long_history_test.cpp
@@ -2,6 +2,7 @@
 // changes were applied in one step of the control thread, which sent no
 // heartbeat and granted no vote meanwhile, so that each leader lost its term to
 // the next one.
+#include "control/control_node.hpp"
 #include "control/local_cluster.hpp"
 
 #include <catch2/catch.hpp>
@@ -174,3 +175,19 @@
         status_of(*all.members[leader]->control).log_bytes < 20 * change_bytes);
     stop_all(all);
 }
+
+TEST_CASE("a replayed history reaches the service as one change")
+{
+    constexpr std::uint64_t changes = 150;
+    const temporary_folder folder;
+    control_tests::control_node node(folder.path, free_address());
+    node.run_until_leading();
+    for (std::uint64_t i = 1; i <= changes; ++i)
+        REQUIRE(node.replace(i, std::to_string(i)));
+    const std::uint64_t applied = node.applied();
+    node.restart_replica();
+    observed none;
+    REQUIRE(wait_for(none, 10s, [&] { return node.applied() > applied; }));
+    CHECK(node.run_due_handlers() < changes / 5);
+    CHECK(node.read_version() == changes);
+}
--- a/tests/gateway/version_selection_test.cpp
+++ b/tests/gateway/version_selection_test.cpp
@@ -43,8 +43,10 @@
 
     void run(const std::string& command)
     {
-        const auto outcome = site::decode_result(
-            site::apply(state, parse, state.applied + 1, command));
+        const auto outcome = site::decode_result(site::apply(
+            state,
+            state.applied + 1,
+            site::prepare(parse, state.version, command)));
         REQUIRE_FALSE(outcome.wrong);
         tell_entry();
     }
--- a/tests/site/departures_test.cpp
+++ b/tests/site/departures_test.cpp
@@ -91,7 +91,9 @@
     site_state state;
     const std::string command =
         encode_record_departure(id, {10, 5, true, 0}, wall_time{700});
-    CHECK_FALSE(decode_result(apply(state, parse, 1, command)).wrong);
+    CHECK_FALSE(
+        decode_result(apply(state, 1, prepare(parse, state.version, command)))
+            .wrong);
     const departure expected{10, 5, true, 700};
     CHECK(state.departures == departure_map{{id, expected}});
     site_state restored;
--- a/tests/site/site_state_test.cpp
+++ b/tests/site/site_state_test.cpp
@@ -30,7 +30,8 @@
 
     command_outcome run(const std::string& command)
     {
-        return decode_result(apply(state, parse, ++index, command));
+        return decode_result(
+            apply(state, ++index, prepare(parse, state.version, command)));
     }
     command_outcome replace(std::uint64_t version, const std::string& content)
     {
--- a/tests/site/site_store_test.cpp
+++ b/tests/site/site_store_test.cpp
@@ -26,19 +26,28 @@
     const time_point at{5s};
     store.confirm(at);
     CHECK(store.read().confirmed_at == at);
-    CHECK(store.read().state.version == 7);
+    CHECK(store.read().state->version == 7);
     CHECK(changes == 2);
 
+    SECTION("readers share one copy until the state changes")
+    {
+        const auto first = store.read().state;
+        store.confirm(at + 1s);
+        CHECK(store.read().state == first);
+        store.apply(2, encode_replace(8, "8", {1}));
+        CHECK(store.read().state != first);
+        CHECK(first->version == 7);
+    }
     SECTION("it stays confirmed when it changes")
     {
         store.apply(2, encode_replace(8, "8", {1}));
         CHECK(store.read().confirmed_at == at);
-        CHECK(store.read().state.version == 8);
+        CHECK(store.read().state->version == 8);
     }
     SECTION("an older state that is restored is unconfirmed")
     {
         REQUIRE_FALSE(store.restore({}));
         CHECK_FALSE(store.read().confirmed_at);
-        CHECK(store.read().state.version == 0);
+        CHECK(store.read().state->version == 0);
     }
 }
