--- a/src/base/mailbox.hpp
+++ b/src/base/mailbox.hpp
@@ -20,12 +20,20 @@
 class mailbox
 {
 public:
+    /// Values received in one step of the loop; others wait behind the timers
+    /// and handlers that are due by then.
+    static constexpr std::size_t default_values_per_step = 16;
+
     /// `receive` is called on `loop` for each value, in order.
     mailbox(
         boost::asio::io_context& loop,
         std::size_t capacity,
-        std::function<void(T&&)> receive)
-        : loop_(loop), queue_(capacity), receive_(std::move(receive))
+        std::function<void(T&&)> receive,
+        std::size_t values_per_step = default_values_per_step)
+        : loop_(loop)
+        , queue_(capacity)
+        , receive_(std::move(receive))
+        , values_per_step_(values_per_step)
     {
     }
 
@@ -60,13 +68,16 @@
     {
         scheduled_.store(false);
         T value;
-        while (queue_.pop(value))
+        for (std::size_t i = 0; i < values_per_step_ && queue_.pop(value); ++i)
             receive_(std::move(value));
+        if (queue_.read_available() > 0)
+            schedule_drain();
     }
 
     boost::asio::io_context& loop_;
     boost::lockfree::spsc_queue<T> queue_;
     std::function<void(T&&)> receive_;
+    const std::size_t values_per_step_;
     std::atomic<bool> scheduled_{false};
     std::atomic<std::uint64_t> refused_{0};
 };
--- a/src/daemon/storage_duty.cpp
+++ b/src/daemon/storage_duty.cpp
@@ -45,7 +45,8 @@
               // covers all of them.
               if (batch.size() == 1)
                   boost::asio::post(loop, [this] { store_batch(*this); });
-          })
+          },
+          capacity)
 {
 }
 
