Rounds of confirmation overlap

Suspected in the last postmortem, from the code, no run: a round over 500 ms was given up for the next one, so that a node behind slow links or with entries to apply never confirmed its state and answered no read. Rounds stay open until they are answered or too old to renew the lease; the newest one that is complete counts, from the moment at which it was asked. A test that set the one current round now pushes it, and checks the same.

--- a/src/daemon/control_confirmation.cpp
+++ b/src/daemon/control_confirmation.cpp
@@ -13,10 +13,10 @@
 
 /// Sends the query to the leader if it answered the previous round, else to
 /// every voter.
-void query_peers(control_duty& duty)
+void query_peers(control_duty& duty, const confirmation& round)
 {
-    const std::string body = consensus::encode(consensus::message{
-        consensus::freshness_query{duty.current_confirmation->token}});
+    const std::string body = consensus::encode(
+        consensus::message{consensus::freshness_query{round.token}});
     const node_id& leader = duty.core.leader;
     const node_id& self = duty.options.self;
     if (duty.leader_answered && !leader.empty() && leader != self)
@@ -28,11 +28,11 @@
 
 /// Once the voters that answered intersect every quorum, no index above the
 /// highest of their last indexes can have been committed when they were asked.
-void update_required_index(control_duty& duty)
+void update_required_index(const control_duty& duty, confirmation& round)
 {
     const membership& members = consensus::members_of(duty.core);
     std::vector<std::uint64_t> indexes;
-    for (const auto& [id, index] : duty.current_confirmation->voter_indexes)
+    for (const auto& [id, index] : round.voter_indexes)
         if (consensus::is_voter(members, id))
             indexes.push_back(index);
     const std::size_t answers_needed =
@@ -40,12 +40,23 @@
     if (answers_needed == 0 || indexes.size() < answers_needed)
         return;
     std::sort(indexes.begin(), indexes.end());
-    duty.current_confirmation->required_index = std::min(
-        duty.current_confirmation->required_index.value_or(
-            indexes[answers_needed - 1]),
+    round.required_index = std::min(
+        round.required_index.value_or(indexes[answers_needed - 1]),
         indexes[answers_needed - 1]);
 }
 
+void abandon_old_rounds(control_duty& duty, time_point now)
+{
+    auto& rounds = duty.confirmations;
+    while (!rounds.empty() &&
+           now - rounds.front().asked_at >= duty.options.configuration_lease)
+    {
+        rounds.pop_front();
+        const std::lock_guard lock(duty.status_mutex);
+        ++duty.status.abandoned_confirmations;
+    }
+}
+
 void renew_lease(control_duty& duty, time_point asked_at)
 {
     const time_point until = asked_at + duty.options.configuration_lease;
@@ -61,58 +72,67 @@
         duty.core.role == consensus::role::halted)
         return;
     duty.next_confirmation_at = now + duty.options.confirmation_interval;
-    duty.leader_answered = duty.leader_answered && !duty.current_confirmation;
-    if (duty.current_confirmation)
-    {
-        const std::lock_guard lock(duty.status_mutex);
-        ++duty.status.abandoned_confirmations;
-    }
-    duty.current_confirmation =
-        confirmation{duty.next_confirmation++, now, {}, {}};
+    abandon_old_rounds(duty, now);
+    duty.leader_answered =
+        duty.leader_answered &&
+        (duty.confirmations.empty() ||
+         duty.confirmations.back().required_index.has_value());
+    confirmation round{duty.next_confirmation++, now, {}, {}};
     if (const auto index = consensus::lease_read(duty.core, now))
-        duty.current_confirmation->required_index = *index;
+        round.required_index = *index;
     else if (
         duty.core.hard.admitted &&
         consensus::is_voter(
             consensus::members_of(duty.core), duty.options.self))
     {
-        duty.current_confirmation->voter_indexes[duty.options.self] =
+        round.voter_indexes[duty.options.self] =
             consensus::last_index(duty.core.log);
-        update_required_index(duty);
+        update_required_index(duty, round);
     }
-    if (!duty.current_confirmation->required_index)
-        query_peers(duty);
+    if (!round.required_index)
+        query_peers(duty, round);
+    duty.confirmations.push_back(std::move(round));
     complete_confirmation(duty);
 }
 
 void handle_freshness(
     control_duty& duty, const consensus::freshness_answered& answer, time_point)
 {
-    if (!duty.current_confirmation ||
-        duty.current_confirmation->token != answer.answer.token)
+    auto& rounds = duty.confirmations;
+    const auto round = std::find_if(
+        rounds.begin(),
+        rounds.end(),
+        [&](const confirmation& each)
+        { return each.token == answer.answer.token; });
+    if (round == rounds.end())
         return;
     if (answer.answer.from_leader)
     {
-        duty.current_confirmation->required_index = answer.answer.index;
+        round->required_index = answer.answer.index;
         duty.leader_answered = true;
     }
     else
     {
-        duty.current_confirmation->voter_indexes[answer.from] =
-            answer.answer.index;
-        update_required_index(duty);
+        round->voter_indexes[answer.from] = answer.answer.index;
+        update_required_index(duty, *round);
     }
     complete_confirmation(duty);
 }
 
 void complete_confirmation(control_duty& duty)
 {
-    if (!duty.current_confirmation ||
-        !duty.current_confirmation->required_index ||
-        duty.core.applied < *duty.current_confirmation->required_index)
+    auto& rounds = duty.confirmations;
+    const auto newest_applied = std::find_if(
+        rounds.rbegin(),
+        rounds.rend(),
+        [&](const confirmation& round) {
+            return round.required_index &&
+                   duty.core.applied >= *round.required_index;
+        });
+    if (newest_applied == rounds.rend())
         return;
-    const time_point asked_at = duty.current_confirmation->asked_at;
-    duty.current_confirmation.reset();
+    const time_point asked_at = newest_applied->asked_at;
+    rounds.erase(rounds.begin(), newest_applied.base());
     renew_lease(duty, asked_at);
 }
 
--- a/src/daemon/control_start.cpp
+++ b/src/daemon/control_start.cpp
@@ -82,7 +82,7 @@
     duty.loop.restart();
     duty.unsent_writes.clear();
     duty.accepted_remote.clear();
-    duty.current_confirmation.reset();
+    duty.confirmations.clear();
     duty.orders_allowed = false;
     duty.apply_scheduled = false;
     const std::lock_guard lock(duty.status_mutex);
--- a/src/daemon/control_state.hpp
+++ b/src/daemon/control_state.hpp
@@ -122,7 +122,9 @@
     std::set<std::tuple<node_id, std::uint64_t, std::uint64_t>> accepted_remote;
 
     // Configuration lease.
-    std::optional<confirmation> current_confirmation;
+    /// Rounds that have not ended, oldest first. They overlap: where a round
+    /// takes longer than the interval, each is still completed.
+    std::deque<confirmation> confirmations;
     std::uint64_t next_confirmation;
     time_point next_confirmation_at;
     bool leader_answered = false;
@@ -191,14 +193,16 @@
 
 // Configuration lease (control_confirmation.cpp).
 
-/// Begins a round of queries if one is due.
+/// Begins a round of queries if one is due, and gives up rounds that are too
+/// old to renew the lease.
 void start_confirmation(control_duty& duty, time_point now);
-/// Handles a peer's answer to the current round; others are ignored.
+/// Handles a peer's answer to a round that has not ended; others are ignored.
 void handle_freshness(
     control_duty& duty,
     const consensus::freshness_answered& answer,
     time_point now);
-/// Renews the lease and ends the round if the required index is applied.
+/// Renews the lease by the newest round whose required index is applied, and
+/// ends that round and those before it.
 void complete_confirmation(control_duty& duty);
 
 } // namespace bergamotusher
--- a/tests/control/control_answers_test.cpp
+++ b/tests/control/control_answers_test.cpp
@@ -78,7 +78,7 @@
 
 void begin_confirmation(stopped_duty& stopped)
 {
-    stopped.control->current_confirmation = confirmation{1, now(), {}, {}};
+    stopped.control->confirmations.push_back(confirmation{1, now(), {}, {}});
 }
 
 bool renewed(const stopped_duty& stopped)
@@ -226,9 +226,9 @@
         complete_confirmation(*stopped.control);
         CHECK(renewed(stopped));
     }
-    SECTION("not if it answers an earlier query")
+    SECTION("not if it answers no query that is open")
     {
-        stopped.control->current_confirmation->token = 2;
+        stopped.control->confirmations.back().token = 2;
         handle_freshness(
             *stopped.control, make_freshness("n1", 0, true), now());
         CHECK_FALSE(renewed(stopped));
@@ -274,3 +274,36 @@
         CHECK_FALSE(renewed(stopped));
     }
 }
+
+TEST_CASE("answers that take longer than the interval still renew the lease")
+{
+    stopped_duty stopped;
+    const time_point began = now();
+    control_duty& control = *stopped.control;
+    control.confirmations.push_back({1, began, {}, {}});
+    control.confirmations.push_back({2, began + 500ms, {}, {}});
+    handle_freshness(control, make_freshness("n1", 0, true), now());
+    const time_point lease = control.options.configuration_lease + began;
+
+    SECTION("from the moment of the query that is answered")
+    {
+        CHECK(stopped.seen.configuration_until == lease);
+        REQUIRE(control.confirmations.size() == 1);
+        CHECK(control.confirmations.front().token == 2);
+    }
+    SECTION("and a later answer to an older query does not shorten it")
+    {
+        handle_freshness(control, {{"n1"}, {2, true, 0}}, began + 600ms);
+        CHECK(stopped.seen.configuration_until == lease + 500ms);
+        handle_freshness(control, make_freshness("n1", 0, true), now());
+        CHECK(stopped.seen.configuration_until == lease + 500ms);
+        CHECK(control.confirmations.empty());
+    }
+    SECTION("but a query that is older than the lease is given up")
+    {
+        control.confirmations.push_front({3, began - 1h, {}, {}});
+        start_confirmation(control, now());
+        CHECK(control.confirmations.front().token == 2);
+        CHECK(status_of(control).abandoned_confirmations == 1);
+    }
+}
