--- a/src/consensus/log_storage.cpp
+++ b/src/consensus/log_storage.cpp
@@ -13,8 +13,10 @@
 namespace
 {
 
-/// Number of entries in one record when the whole log is rewritten.
+/// Entries and bytes in one record when the whole log is rewritten, at least
+/// one entry.
 constexpr std::size_t entries_per_record = 256;
+constexpr std::size_t bytes_per_record = std::size_t{256} * 1024;
 
 std::string path_of(const log_storage& storage, const std::string& name)
 {
@@ -88,27 +90,41 @@
     return std::nullopt;
 }
 
-/// The bytes of a segment that holds the hard state and all entries.
-std::string encode_whole_log(const recovered_state& state)
+/// Source of the records of a segment that holds the hard state and all
+/// entries, one record at a time.
+content_source whole_log(const recovered_state& state)
 {
-    std::string bytes;
-    std::size_t next = 0;
-    do
+    return [&state, next = std::size_t{0}, size = std::size_t{0}]() mutable
     {
+        if (size > 0 && next == state.entries.size())
+            return std::string();
         stored_record record{state.hard, {}};
-        const std::size_t end =
-            std::min(next + entries_per_record, state.entries.size());
-        for (; next < end; ++next)
+        for (std::size_t bytes = 0;
+             next < state.entries.size() &&
+             record.entries.size() < entries_per_record &&
+             bytes < bytes_per_record;
+             ++next)
+        {
             record.entries.push_back(state.entries[next]);
-        bytes += frame_record(encode(record), bytes.size());
-    } while (next < state.entries.size());
-    return bytes;
+            bytes += size_of(record.entries.back());
+        }
+        std::string framed = frame_record(encode(record), size);
+        size += framed.size();
+        return framed;
+    };
+}
+
+content_source only_hard_state(const log_storage& storage)
+{
+    return single_part(
+        frame_record(encode(stored_record{storage.hard, {}}), 0));
 }
 
-/// Closes the active segment and starts another that holds `bytes`, which are
+/// Closes the active segment and starts another that holds `content`, which is
 /// synced. With `full`, it replaces all older segments. Returns 0 or an
 /// `errno`.
-int start_segment(log_storage& storage, const std::string& bytes, bool full)
+int start_segment(
+    log_storage& storage, const content_source& content, bool full)
 {
     const file_functions& files = storage.options.files;
     if (storage.file >= 0)
@@ -120,12 +136,21 @@
     ++storage.segment_number;
     const std::string name = segment_file_name(storage.segment_number, full);
     storage.path = path_of(storage, name);
-    const int error = replace_file(storage.options, name, bytes);
+    std::uint64_t size = 0;
+    const int error = replace_file(
+        storage.options,
+        name,
+        [&]
+        {
+            std::string part = content();
+            size += part.size();
+            return part;
+        });
     if (error != 0)
         return error;
     storage.file = files.open(storage.path, false);
-    storage.size = bytes.size();
-    storage.synced_size = bytes.size();
+    storage.size = size;
+    storage.synced_size = size;
     storage.max_index = 0;
     return storage.file < 0 ? -storage.file : 0;
 }
@@ -179,9 +204,7 @@
         error = replace_file(storage.options, "snapshot", bytes);
     if (error != 0)
         return error;
-    const std::string first =
-        frame_record(encode(stored_record{storage.hard, {}}), 0);
-    error = start_segment(storage, first, write.reset);
+    error = start_segment(storage, only_hard_state(storage), write.reset);
     if (error != 0)
         return error;
     const log_index end = write.reset ? ~log_index{0} : write.value->index;
@@ -205,7 +228,7 @@
 {
     if (!content.segments.empty())
         storage.segment_number = content.segments.back().number;
-    const int error = start_segment(storage, encode_whole_log(state), true);
+    const int error = start_segment(storage, whole_log(state), true);
     if (error != 0)
         return io_failure(error, "cannot write the log");
     storage.hard = state.hard;
@@ -273,10 +296,7 @@
     if (error == 0)
         error = sync_segment(storage);
     if (error == 0 && storage.size > storage.options.segment_bytes)
-        error = start_segment(
-            storage,
-            frame_record(encode(stored_record{storage.hard, {}}), 0),
-            false);
+        error = start_segment(storage, only_hard_state(storage), false);
     if (error != 0)
         storage.broken = io_failure(error, "cannot store in " + storage.path);
     return storage.broken;
--- a/src/consensus/storage_files.cpp
+++ b/src/consensus/storage_files.cpp
@@ -8,6 +8,7 @@
 #include <cinttypes>
 #include <cstdio>
 #include <cstring>
+#include <utility>
 
 namespace bergamotusher::consensus
 {
@@ -45,16 +46,19 @@
     return std::nullopt;
 }
 
-/// Writes `bytes` to the file and syncs it. Returns 0 or an `errno`.
+/// Writes all parts to the file and syncs it. Returns 0 or an `errno`.
 int write_synced(
     const file_functions& files,
     const std::string& path,
-    const std::string& bytes)
+    const content_source& next_part)
 {
     const int file = files.open(path, true);
     if (file < 0)
         return -file;
-    int error = files.write(file, bytes);
+    int error = 0;
+    for (std::string part = next_part(); error == 0 && !part.empty();
+         part = next_part())
+        error = files.write(file, part);
     if (error == 0)
         error = files.sync(file);
     const int close_error = files.close(file);
@@ -116,16 +120,32 @@
     return content;
 }
 
+content_source single_part(std::string bytes)
+{
+    return [bytes = std::move(bytes)]() mutable
+    {
+        return std::exchange(bytes, {});
+    };
+}
+
 int replace_file(
     const storage_options& options,
     const std::string& name,
     const std::string& bytes)
+{
+    return replace_file(options, name, single_part(bytes));
+}
+
+int replace_file(
+    const storage_options& options,
+    const std::string& name,
+    const content_source& next_part)
 {
     const file_functions& files = options.files;
     const std::string path = options.folder + "/" + name;
     const std::string temporary_path = path + ".tmp";
     files.remove(temporary_path);
-    int error = write_synced(files, temporary_path, bytes);
+    int error = write_synced(files, temporary_path, next_part);
     if (error == 0)
         error = files.rename(temporary_path, path);
     if (error == 0)
--- a/src/consensus/storage_files.hpp
+++ b/src/consensus/storage_files.hpp
@@ -38,8 +38,16 @@
 failure io_failure(int error, const std::string& what);
 folder_content list_folder(const storage_options& options, int& error);
 
+/// Returns the next part of a file's content; empty at its end.
+using content_source = std::function<std::string()>;
+content_source single_part(std::string bytes);
+
 /// Replaces a file atomically: writes a temporary file, syncs it, renames it
 /// and syncs the folder. Returns 0 or an `errno`.
+int replace_file(
+    const storage_options& options,
+    const std::string& name,
+    const content_source& next_part);
 int replace_file(
     const storage_options& options,
     const std::string& name,
--- a/tests/consensus/log_storage_test.cpp
+++ b/tests/consensus/log_storage_test.cpp
@@ -420,3 +420,40 @@
     CHECK(reopened.state.entries.size() == 1000);
     CHECK(std::chrono::steady_clock::now() - began < 1s);
 }
+
+TEST_CASE("opening a log of large entries holds a small part of it twice")
+{
+    constexpr std::size_t entry_bytes = std::size_t{100} * 1024;
+    constexpr log_index last = 60;
+    const temporary_folder folder;
+    storage_options options = options_in(folder);
+    opened_storage first = open_or_fail(options);
+    for (log_index i = 1; i <= last; ++i)
+    {
+        persist write;
+        write.hard = {1, {"n1"}, true};
+        write.entries.push_back(command_entry(i));
+        write.entries.back().command.resize(entry_bytes, 'x');
+        REQUIRE_FALSE(store(first.storage, {storage_write(write)}));
+    }
+    close_storage(first.storage);
+    std::size_t largest_write = 0;
+    const auto write = options.files.write;
+    options.files.write = [&](int file, const std::string& bytes)
+    {
+        largest_write = std::max(largest_write, bytes.size());
+        return write(file, bytes);
+    };
+    opened_storage reopened = open_or_fail(options);
+    CHECK(largest_write < 5 * entry_bytes);
+    REQUIRE(reopened.state.entries.size() == last);
+    close_storage(reopened.storage);
+
+    SECTION("and what was written in parts is read as a whole")
+    {
+        const opened_storage again = open_or_fail(options);
+        REQUIRE(again.state.entries.size() == last);
+        for (log_index i = 1; i <= last; ++i)
+            CHECK(again.state.entries[i - 1].command.size() == entry_bytes);
+    }
+}
