--- a/src/consensus/snapshot_policy.hpp
+++ b/src/consensus/snapshot_policy.hpp
@@ -17,8 +17,10 @@
     /// Bytes of the log for each byte of the last snapshot, if that is more:
     /// writing snapshots adds at most this fraction of the log's own writes.
     std::size_t log_bytes_per_state_byte = 4;
-    /// Most entries between two snapshots.
+    /// Entries between two snapshots, however small they are; of a large state
+    /// one for each of `state_bytes_per_entry`, if that is more.
     std::uint64_t max_entries = 1000;
+    std::size_t state_bytes_per_entry = 1024;
 };
 
 /// What was applied since the last snapshot was taken, restored or read.
