--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -49,7 +49,7 @@
 struct limits
 {
     std::size_t append_bytes = std::size_t{256} * 1024;
-    std::size_t chunk_bytes = std::size_t{64} * 1024;
+    std::size_t chunk_bytes = std::size_t{256} * 1024;
     /// Most append requests with entries in flight to one follower.
     std::size_t in_flight = 8;
     /// Proposals that would exceed this number of uncommitted entries are
@@ -61,7 +61,11 @@
     /// Entries kept below a snapshot, so that followers slightly behind need no
     /// snapshot; of large entries fewer, as many as fit `kept_bytes`.
     std::size_t kept_entries = 256;
-    std::size_t kept_bytes = std::size_t{512} * 1024;
+    std::size_t kept_bytes = std::size_t{1024} * 1024;
+    /// Bytes kept at most of what a live follower lacks, or will lack once it
+    /// has the snapshot that it is being sent: while large entries come
+    /// quickly, it would need one snapshot after the other.
+    std::size_t kept_bytes_for_followers = std::size_t{8} * 1024 * 1024;
     /// Entries and bytes that one step applies, at least one entry: between
     /// steps the replica answers messages and sends heartbeats.
     std::size_t apply_entries = 16;
--- a/src/consensus/snapshots.cpp
+++ b/src/consensus/snapshots.cpp
@@ -43,16 +43,35 @@
     return token;
 }
 
+/// The lowest index up to which a live follower has the log, or will have it
+/// with the snapshot that it is being sent.
+log_index index_at_all_followers(const replica& replica, time_point now)
+{
+    log_index lowest = last_index(replica.log);
+    for (const auto& [id, peer] : replica.followers)
+        if (now - peer.heard_at < replica.options.timing.voter_lost_after)
+            lowest = std::min(
+                lowest,
+                peer.sending_snapshot ? peer.sending_snapshot->index
+                                      : peer.match);
+    return lowest;
+}
+
 /// The index up to which the log below a snapshot at `index` is removed.
-log_index compaction_target(const replica& replica, log_index index)
+log_index
+compaction_target(const replica& replica, log_index index, time_point now)
 {
     const limits& limits = replica.options.limits;
+    const log_index needed_above = replica.role == role::leader
+                                       ? index_at_all_followers(replica, now)
+                                       : index;
     std::size_t entries = 0;
     std::size_t bytes = 0;
     while (index > replica.log.base_index && entries < limits.kept_entries)
     {
         bytes += size_of(entry_at(replica.log, index));
-        if (bytes > limits.kept_bytes)
+        if (bytes > (index > needed_above ? limits.kept_bytes_for_followers
+                                          : limits.kept_bytes))
             break;
         ++entries;
         --index;
@@ -62,10 +81,11 @@
 
 /// Makes the synced local snapshot the base and compacts the log, except for
 /// some entries below it.
-void complete_local_snapshot(replica& replica)
+void complete_local_snapshot(replica& replica, time_point now)
 {
     replica.base = std::move(replica.pending_snapshot);
-    const log_index target = compaction_target(replica, replica.base->index);
+    const log_index target =
+        compaction_target(replica, replica.base->index, now);
     if (target > replica.log.base_index)
         compact_to(replica.log, target);
     trim_memberships(replica);
@@ -159,7 +179,7 @@
 {
     if (replica.pending_snapshot &&
         replica.synced_token >= replica.taking_token)
-        complete_local_snapshot(replica);
+        complete_local_snapshot(replica, now);
     if (!replica.installing_snapshot ||
         replica.synced_token < replica.installing_token)
         return;
--- a/tests/consensus/replica_test.cpp
+++ b/tests/consensus/replica_test.cpp
@@ -203,6 +203,47 @@
     CHECK(net.nodes[behind].core.base->index > 20);
 }
 
+TEST_CASE("a follower that was cut off while large entries came needs no "
+          "snapshot")
+{
+    constexpr std::size_t entry_bytes = std::size_t{150} * 1024;
+    network net = make_network(3, 5);
+    net.snapshot_every = 7;
+    for (std::size_t i = 0; i < 3; ++i)
+        start_node(net, i);
+    const std::size_t leader = elect_leader(net);
+    const std::size_t behind = (leader + 1) % 3;
+    std::size_t snapshots_seen = 0;
+    const auto change_for = [&](duration span)
+    {
+        for (duration passed{}; passed < span; passed += 5ms)
+        {
+            if (passed % 100ms == 0s)
+                step_node(
+                    net, leader, propose{{std::string(entry_bytes, 'x')}});
+            run(net, 5ms);
+            const auto& peers = net.nodes[leader].core.followers;
+            if (peers.at(net.nodes[behind].id).sending_snapshot)
+                ++snapshots_seen;
+        }
+    };
+    change_for(2s);
+    net.partition[behind] = 1;
+    change_for(1500ms);
+    net.partition.assign(3, 0);
+    change_for(2s);
+    run(net, 1s);
+    CHECK(snapshots_seen == 0);
+    CHECK(net.nodes[behind].applied == net.nodes[leader].applied);
+
+    SECTION("and one that is lost does not fill the leader's memory")
+    {
+        net.partition[behind] = 1;
+        change_for(10s);
+        CHECK(net.nodes[leader].core.log.bytes < std::size_t{4} * 1024 * 1024);
+    }
+}
+
 TEST_CASE("a voter that lost its disk is admitted again and catches up")
 {
     network net = start_network(3);
