One piece of the log for each pass of the control thread

Each step applies one piece, as its last action behind the messages and the write that it makes; the control thread and entries receive one message in a pass. What is committed and not applied counts for the bound on proposals, since applying no longer holds the thread up. Answers of voters count only for the membership by which their round began, as rounds last longer now. A message may have 16 MB: a configuration of the size that operators may send did not fit beside its envelope.

--- a/src/consensus/follower.cpp
+++ b/src/consensus/follower.cpp
@@ -139,7 +139,6 @@
     replica.commit =
         std::max(replica.commit, std::min(request.commit, reply.match));
     send_after_sync(replica, out, from, reply);
-    apply_committed(replica, out);
 }
 
 } // namespace bergamotusher::consensus
--- a/src/consensus/leader.cpp
+++ b/src/consensus/leader.cpp
@@ -256,7 +256,6 @@
         return;
     replica.commit = index;
     notify_idle_followers(replica, out, now);
-    apply_committed(replica, out);
     if (members_committed(replica) &&
         !is_voter(members_of(replica), replica.options.self))
         become_follower(replica, out, replica.hard.term, {}, now);
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -68,13 +68,13 @@
     const log_index last = last_index(replica.log);
     if (!accepts_proposals(replica, now))
         return out.emplace_back(refused{error_kind::not_leader}), void();
-    std::size_t bytes = uncommitted_bytes(replica);
+    std::size_t bytes = unapplied_bytes(replica);
     if (bytes > 0)
         for (const std::string& command : input.commands)
             bytes += command.size();
     if (last - replica.commit + input.commands.size() >
             replica.options.limits.uncommitted ||
-        bytes > replica.options.limits.uncommitted_bytes)
+        bytes > replica.options.limits.unapplied_bytes)
         return out.emplace_back(refused{error_kind::overloaded}), void();
     for (const std::string& command : input.commands)
         append_as_leader(replica, entry{.command = command, .members = {}});
@@ -110,7 +110,6 @@
     count_own_vote(replica, out, now);
     if (replica.role == role::leader)
         advance_commit(replica, out, now);
-    apply_committed(replica, out);
 }
 
 void halt(replica& replica, actions& out)
@@ -134,7 +133,7 @@
                 else
                     tick_non_leader(replica, out, now);
             },
-            [&](const apply_more&) { apply_committed(replica, out); },
+            [](const apply_more&) {},
             [&](const received& in)
             {
                 replica.silent_since.erase(in.from);
@@ -271,15 +270,18 @@
         return out;
     }
     dispatch(replica, out, input, now);
-    if (replica.role != role::halted)
-        persist_changes(replica, out, now);
+    if (replica.role == role::halted)
+        return out;
+    persist_changes(replica, out, now);
+    // Last, since it takes longest.
+    apply_committed(replica, out);
     return out;
 }
 
-std::size_t uncommitted_bytes(const replica& replica)
+std::size_t unapplied_bytes(const replica& replica)
 {
     std::size_t bytes = 0;
-    for (log_index i = last_index(replica.log); i > replica.commit; --i)
+    for (log_index i = last_index(replica.log); i > replica.applied; --i)
         bytes += size_of(entry_at(replica.log, i));
     return bytes;
 }
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -55,9 +55,9 @@
     /// Proposals that would exceed this number of uncommitted entries are
     /// refused.
     std::size_t uncommitted = 4096;
-    /// Proposals that would exceed this number of bytes of uncommitted entries
-    /// are refused, unless nothing is uncommitted.
-    std::size_t uncommitted_bytes = std::size_t{8} * 1024 * 1024;
+    /// Proposals that would exceed this number of bytes of entries that are not
+    /// applied here are refused, unless all are applied.
+    std::size_t unapplied_bytes = std::size_t{8} * 1024 * 1024;
     /// Entries kept below a snapshot, so that followers slightly behind need no
     /// snapshot; of large entries fewer, as many as fit `kept_bytes`.
     std::size_t kept_entries = 256;
@@ -233,8 +233,8 @@
 {
 };
 
-/// Applies more of the entries that are committed and synced; given as long as
-/// `has_unapplied` holds.
+/// Each step applies a part of the entries that are committed and synced; this
+/// one does nothing else. Given as long as `has_unapplied` holds.
 struct apply_more
 {
 };
@@ -411,11 +411,11 @@
 /// not decrease.
 actions step(replica& replica, const input& input, time_point now);
 
-/// True if the last step left committed entries for `apply_more`.
+/// True if the last step left committed entries for the next one.
 bool has_unapplied(const replica& replica);
 
-/// Bytes of the entries that are not committed.
-std::size_t uncommitted_bytes(const replica& replica);
+/// Bytes of the entries that are not applied.
+std::size_t unapplied_bytes(const replica& replica);
 
 /// The time at which the next `tick` is due.
 time_point next_tick(const replica& replica);
--- a/src/daemon/control_confirmation.cpp
+++ b/src/daemon/control_confirmation.cpp
@@ -77,7 +77,12 @@
         duty.leader_answered &&
         (duty.confirmations.empty() ||
          duty.confirmations.back().required_index.has_value());
-    confirmation round{duty.next_confirmation++, now, {}, {}};
+    confirmation round{
+        duty.next_confirmation++,
+        now,
+        {},
+        duty.core.memberships.back().first,
+        {}};
     if (const auto index = consensus::lease_read(duty.core, now))
         round.required_index = *index;
     else if (
@@ -111,7 +116,7 @@
         round->required_index = answer.answer.index;
         duty.leader_answered = true;
     }
-    else
+    else if (round->members_index == duty.core.memberships.back().first)
     {
         round->voter_indexes[answer.from] = answer.answer.index;
         update_required_index(duty, *round);
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -248,12 +248,14 @@
           loop,
           peers_queue_capacity,
           [this](incoming_message&& message)
-          { handle_peer_message(*this, std::move(message)); })
+          { handle_peer_message(*this, std::move(message)); },
+          1)
     , from_storage(
           loop,
           storage_queue_capacity,
           [this](storage_report&& report)
-          { handle_storage_report(*this, std::move(report)); })
+          { handle_storage_report(*this, std::move(report)); },
+          1)
     , next_ticket(random_number())
     , next_confirmation(random_number())
 {
--- a/src/daemon/control_proposals.cpp
+++ b/src/daemon/control_proposals.cpp
@@ -72,7 +72,7 @@
 }
 
 /// Appends the pending proposals to the log as one batch, as far as the limits
-/// on uncommitted entries allow.
+/// on uncommitted and unapplied entries allow.
 void append_pending(control_duty& duty)
 {
     consensus::propose batch;
@@ -84,11 +84,11 @@
         std::min<std::uint64_t>(
             consensus::last_index(duty.core.log) - duty.core.commit,
             limits.uncommitted);
-    std::size_t bytes = consensus::uncommitted_bytes(duty.core);
+    std::size_t bytes = consensus::unapplied_bytes(duty.core);
     while (!all.empty() && batch.commands.size() < room)
     {
         const std::size_t size = all.front().command.size();
-        if (bytes > 0 && bytes + size > limits.uncommitted_bytes)
+        if (bytes > 0 && bytes + size > limits.unapplied_bytes)
             break;
         bytes += size;
         senders.push_back(std::move(all.front().sender));
--- a/src/daemon/control_state.hpp
+++ b/src/daemon/control_state.hpp
@@ -65,6 +65,8 @@
     time_point asked_at;
     /// The last index of each voter that answered.
     std::map<node_id, std::uint64_t> voter_indexes;
+    /// Log index of the membership by which the answers are judged.
+    consensus::log_index members_index = 0;
     /// No index above it was committed at `asked_at`: once this index is
     /// applied, the configuration lease can be renewed.
     std::optional<std::uint64_t> required_index;
--- a/src/daemon/peers_duty.cpp
+++ b/src/daemon/peers_duty.cpp
@@ -39,7 +39,8 @@
 /// Maximum number of connections to other nodes with open membership; the
 /// largest planned system has 410 nodes.
 constexpr std::size_t max_open_dealers = 1024;
-constexpr std::int64_t max_message_bytes = std::int64_t{8} * 1024 * 1024;
+/// Twice the largest configuration that operators may send.
+constexpr std::int64_t max_message_bytes = std::int64_t{16} * 1024 * 1024;
 /// Messages read from the network in one round before queued messages are
 /// sent.
 constexpr int receive_burst = 256;
--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -129,7 +129,8 @@
                   link_.on_control_report(message.from, message.body);
               else
                   link_.on_directory(message.from, message.body);
-          })
+          },
+          1)
     , link_(
           link_options(settings, wire.parse_site),
           view_,
--- a/tests/consensus/replica_step_test.cpp
+++ b/tests/consensus/replica_step_test.cpp
@@ -377,6 +377,18 @@
         }
         CHECK(core.applied == last + 1);
     }
+    SECTION("behind the messages and the write of that step")
+    {
+        const actions first =
+            step(core, received{{"n1"}, accepting_reply(2, last + 1)}, now);
+        bool applied = false;
+        for (const action& each : first)
+        {
+            applied = applied || std::holds_alternative<apply>(each);
+            CHECK_FALSE((applied && std::holds_alternative<send>(each)));
+        }
+        CHECK(applied);
+    }
     SECTION("of large entries fewer, but at least one")
     {
         const std::string large(limits{}.apply_bytes + 1, 'x');
--- a/tests/control/control_answers_test.cpp
+++ b/tests/control/control_answers_test.cpp
@@ -78,7 +78,7 @@
 
 void begin_confirmation(stopped_duty& stopped)
 {
-    stopped.control->confirmations.push_back(confirmation{1, now(), {}, {}});
+    stopped.control->confirmations.push_back(confirmation{1, now(), {}, 0, {}});
 }
 
 bool renewed(const stopped_duty& stopped)
@@ -265,6 +265,16 @@
         handle_freshness(*stopped.control, make_freshness("n2", 0), now());
         CHECK_FALSE(renewed(stopped));
     }
+    SECTION("not with answers that came after the members had changed")
+    {
+        stopped_duty stopped(3);
+        begin_confirmation(stopped);
+        auto members = consensus::members_of(stopped.control->core);
+        stopped.control->core.memberships.emplace_back(5, members);
+        handle_freshness(*stopped.control, make_freshness("n1", 0), now());
+        handle_freshness(*stopped.control, make_freshness("n2", 0), now());
+        CHECK_FALSE(renewed(stopped));
+    }
     SECTION("not with the answer of a node that is no voter")
     {
         stopped_duty stopped(3);
@@ -280,8 +290,8 @@
     stopped_duty stopped;
     const time_point began = now();
     control_duty& control = *stopped.control;
-    control.confirmations.push_back({1, began, {}, {}});
-    control.confirmations.push_back({2, began + 500ms, {}, {}});
+    control.confirmations.push_back({1, began, {}, 0, {}});
+    control.confirmations.push_back({2, began + 500ms, {}, 0, {}});
     handle_freshness(control, make_freshness("n1", 0, true), now());
     const time_point lease = control.options.configuration_lease + began;
 
@@ -301,7 +311,7 @@
     }
     SECTION("but a query that is older than the lease is given up")
     {
-        control.confirmations.push_front({3, began - 1h, {}, {}});
+        control.confirmations.push_front({3, began - 1h, {}, 0, {}});
         start_confirmation(control, now());
         CHECK(control.confirmations.front().token == 2);
         CHECK(status_of(control).abandoned_confirmations == 1);
