A site that changes quickly is sent to each entry at most five times a second

Found by the review: the leader sent each version of a large site to every entry in one step of its loop; at 77 entries 11.5 MB for each change of 150 KB. An entry gets the newest site 200 ms after the one before; sixteen entries are told in a step. The test failed before: 100 sites in a second.

--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -211,8 +211,49 @@
     // The leader tells entries at once; other nodes tell them in reply to their
     // next report.
     if (status_of(*control_).role == consensus::role::leader)
-        for (const auto& [id, entry] : entries_)
-            send_report(id, 0, false);
+        tell_entries();
+}
+
+void control_service::tell_entries()
+{
+    last_told_entry_ = {};
+    if (!std::exchange(is_telling_entries_, true))
+        tell_next_entries();
+}
+
+void control_service::tell_next_entries()
+{
+    const measured_step step(steps_, "sent reports to entries");
+    constexpr int entries_per_step = 16;
+    auto next = entries_.upper_bound(last_told_entry_);
+    for (int i = 0; i < entries_per_step && next != entries_.end(); ++i, ++next)
+    {
+        last_told_entry_ = next->first;
+        send_report(next->first, 0, false);
+    }
+    is_telling_entries_ = next != entries_.end();
+    if (is_telling_entries_)
+        boost::asio::post(loop_, [this] { tell_next_entries(); });
+}
+
+void control_service::send_missing_sites(time_point now)
+{
+    std::vector<node_id> due;
+    for (const auto& [id, entry] : entries_)
+    {
+        entry_sync_state sync = entry.sync;
+        if (now - entry.heard_at < options_.entry_timeout &&
+            should_send_site(
+                options_.entry_sync,
+                site_->version,
+                entry.site_version,
+                0,
+                sync,
+                now))
+            due.push_back(id);
+    }
+    for (const node_id& id : due)
+        send_report(id, 0, false);
 }
 
 void control_service::propose_change(std::string command, change_callback done)
@@ -455,6 +496,8 @@
     update_leadership();
     merge_held_announcements(now);
     announce_confirmation(now);
+    if (is_leader_)
+        send_missing_sites(now);
     if (is_leader_)
         silent_upstreams_ = find_silent(
             directory_,
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -246,6 +246,12 @@
     /// limits, in answer to a report that told the entry's use.
     void
     send_report(const node_id& to, std::int64_t asked_at_us, bool answers_use);
+    /// Sends every entry a report, some of them in each step of the loop: a
+    /// report can hold a large site.
+    void tell_entries();
+    void tell_next_entries();
+    /// Sends the site to live entries that lack it, as far as due.
+    void send_missing_sites(time_point now);
     void update_leadership();
     /// Tells all entries when this node's state becomes confirmed: after an
     /// outage they serve again as soon as they know of it.
@@ -304,6 +310,9 @@
     time_point full_directory_at_;
     /// When the full directory was last sent to each control node.
     std::map<node_id, time_point> directory_shared_at_;
+    /// The entry to which `tell_next_entries` sent last.
+    node_id last_told_entry_;
+    bool is_telling_entries_ = false;
     bool was_confirmed_ = false;
     std::map<node_id, known_entry> entries_;
     time_point refreshes_sent_at_;
--- a/src/site/entry_sync.cpp
+++ b/src/site/entry_sync.cpp
@@ -132,6 +132,8 @@
     if (state.sent_site_version == version &&
         now - state.site_sent_at < options.site_resend_interval)
         return false;
+    if (now - state.site_sent_at < options.site_interval)
+        return false;
     state.sent_site_version = version;
     state.site_sent_at = now;
     return true;
--- a/src/site/entry_sync.hpp
+++ b/src/site/entry_sync.hpp
@@ -41,6 +41,11 @@
     duration full_interval = 2s;
     /// A site is not sent again to the same entry within this time.
     duration site_resend_interval = 1s;
+    /// Shortest time between two sites sent to one entry. Where changes come
+    /// more quickly, an entry gets the newest one: sites have hundreds of KB,
+    /// and there may be hundreds of entries. Operators expect changes to be in
+    /// force within 2 s.
+    duration site_interval = 200ms;
     /// How long an entry must lack the newest site before it gets it, for each
     /// rank of the node that sends it.
     duration site_patience_per_rank = 150ms;
--- a/tests/site/entry_sync_test.cpp
+++ b/tests/site/entry_sync_test.cpp
@@ -311,4 +311,18 @@
     {
         CHECK(should_send_site(options, 8, 6, 0, from_leader, start + 200ms));
     }
+    SECTION("of versions in quick succession the entry gets few, and the last")
+    {
+        std::uint64_t sent = 0;
+        std::uint64_t version = 7;
+        time_point now = start;
+        for (int i = 0; i < 100; ++i, now += 10ms)
+            sent += should_send_site(options, ++version, 6, 0, from_leader, now)
+                        ? 1
+                        : 0;
+        CHECK(sent <= 5);
+        now += options.site_interval;
+        CHECK(should_send_site(options, version, 6, 0, from_leader, now));
+        CHECK(from_leader.sent_site_version == version);
+    }
 }
