Entries of one step are bounded by what they cost

Found while looking for the class of the incident in bergamotusherd: a step applies 16 entries or 256 KB, whatever an entry costs. There each change of the configuration copies all of it, 4 ms on average while 10,000 accounts are added. The step sizes the next one by its own processor time per entry, at most 10 ms, beginning with one entry.

An entry alone may still exceed the bound, as with configurations of 1,500 KB: 75 ms.

--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t storage_queue_capacity = 4096;
 /// Interval of checks for expired proposals.
 constexpr duration expiry_check_interval = 20ms;
+/// Processor time for applying entries in one step, beyond which fewer are
+/// applied in the next one.
+constexpr duration max_apply_time = 10ms;
 
 void send_unsent_writes(control_duty& duty)
 {
@@ -148,6 +151,21 @@
         duty, consensus::snapshot_taken{duty.core.applied, std::move(state)});
 }
 
+/// Bounds the next step's entries by what those of this one have cost, which
+/// their number and size do not tell. The number at most doubles: entries that
+/// cost nothing may stand before others.
+void adapt_apply_entries(
+    control_duty& duty, std::uint64_t applied, duration processor_time)
+{
+    const duration entry_time =
+        processor_time / static_cast<std::int64_t>(applied);
+    const auto affordable = static_cast<std::size_t>(
+        max_apply_time / std::max(entry_time, duration(1)));
+    std::size_t& limit = duty.core.options.limits.apply_entries;
+    limit = std::clamp<std::size_t>(
+        std::min(affordable, 2 * limit), 1, duty.options.limits.apply_entries);
+}
+
 /// Applies the committed entries that the last step left, behind the messages
 /// and timers that are due by now.
 void schedule_apply(control_duty& duty)
@@ -319,8 +337,15 @@
 {
     const time_point now = steady_now();
     const time_point previous_tick = consensus::next_tick(duty.core);
+    const duration processor_time_before = thread_processor_time();
+    const std::uint64_t entries_before = duty.since_snapshot.entries;
     for (consensus::action& action : step(duty.core, input, now))
         perform_action(duty, std::move(action));
+    if (duty.since_snapshot.entries > entries_before)
+        adapt_apply_entries(
+            duty,
+            duty.since_snapshot.entries - entries_before,
+            thread_processor_time() - processor_time_before);
     update_order_permission(duty, now);
     publish_status(duty);
     complete_confirmation(duty);
--- a/src/daemon/control_start.cpp
+++ b/src/daemon/control_start.cpp
@@ -100,6 +100,8 @@
         replica_options_of(duty.options, opened.storage.storage_id),
         std::move(opened.state),
         steady_now());
+    // Grows once it is known what entries cost.
+    duty.core.options.limits.apply_entries = 1;
     {
         const std::lock_guard lock(duty.status_mutex);
         duty.status.term = duty.core.hard.term;
--- a/tests/control/long_history_test.cpp
+++ b/tests/control/long_history_test.cpp
@@ -2,6 +2,7 @@
 // changes were applied in one step of the control thread, which sent no
 // heartbeat and granted no vote meanwhile, so that each leader lost its term to
 // the next one.
+#include "base/clock.hpp"
 #include "control/control_node.hpp"
 #include "control/local_cluster.hpp"
 
@@ -121,6 +122,43 @@
     stop_all(all);
 }
 
+// Guards against pieces that are bounded by their number of entries alone:
+// sixteen small commands may take long to apply.
+TEST_CASE("commands that are slow to apply are replayed in short steps")
+{
+    constexpr std::uint64_t changes = 60;
+    cluster all;
+    make_cluster(all, 1, 0s);
+    wait_for_leader(all);
+    for (std::uint64_t i = 1; i <= changes; ++i)
+        REQUIRE(
+            propose_and_wait(*all.members[0], i, "c" + std::to_string(i))
+                .outcome == proposal_outcome::committed);
+    stop_all(all);
+
+    all.machine = [](observed& seen)
+    {
+        state_machine machine = last_command_machine(seen, 0s);
+        machine.apply = [apply = machine.apply](
+                            std::uint64_t index, const std::string& command)
+        {
+            constexpr duration processor_time = 8ms;
+            const duration end = thread_processor_time() + processor_time;
+            while (thread_processor_time() < end)
+                ;
+            return apply(index, command);
+        };
+        return machine;
+    };
+    start_member(all, 0);
+    CHECK(wait_for_last(all, 0, "c" + std::to_string(changes), 20s));
+    constexpr duration max_step = 50ms;
+    CHECK(
+        duration(steps_of(*all.members[0]->control).longest_us.load()) <
+        max_step);
+    stop_all(all);
+}
+
 TEST_CASE("what is kept of large changes follows the size of the state")
 {
     constexpr std::size_t change_bytes = std::size_t{150} * 1024;
