LIMIT: the limits that upstreams name are read, shared and kept

Seen by users on most systems: an upstream in need names in its answers the requests a second that it takes from all entries together, and gets far more. Here the header was not read.

An answer's limit is recorded for the upstream's incarnation before the answer goes on, told to all control nodes at once and by the leader to all entries (site/stated_limits); the newest statement by the nodes' common time holds, a signed answer without one ends it, a value that cannot be read is logged once and changes nothing. Entries share the rate by slots of a second (admission/slot_share): the requests of a slot are dealt out in turn by the entry's place among those that the leader knows. So a limit below one request for each entry is used, without messages, without a leader, and by an entry that has started again; one that does not know its place sends nothing to such upstreams. Repeats and resumes count. What is left over goes to other upstreams; where all name limits, a request waits for a slot that comes within half its target latency, or is refused at once with the time at which this entry's part will serve it, one caller after the other. A limit of 0 is taken as one request in 30 s, to ask again. Renting counts such upstreams as that much smaller.

Ruled out: grants of admission/shared_limit, which need the leader, and leave an entry without one a part of less than one request; leases of admission/budget, for the same reason.

--- /dev/null
+++ b/src/admission/slot_share.hpp
@@ -0,0 +1,87 @@
+// Sharing of a rate among entries that may be less than one request for each.
+//
+// Time, by the clock that all nodes agree on, is divided into slots. The
+// requests that the rate allows in a slot are dealt out to the entries in turn,
+// so that an entry whose share is a fraction has one request in some slots.
+// Which ones follows from the slot's number and the entry's seat: no message is
+// needed to use a request, none is lost with a leader, and an entry that starts
+// again needs no count of what it used before.
+//
+// Where entries disagree on the seats, as while one is added, each still uses
+// its part of the slots, so that the sum stays about the rate.
+#pragma once
+
+#include <bergamotusher/time.hpp>
+
+#include <cstdint>
+#include <optional>
+
+namespace bergamotusher::admission
+{
+
+struct slot_options
+{
+    duration length = 1s;
+    /// A lower rate is taken as this one, so that whoever named 0 is asked
+    /// again: one request in 30 s over all entries.
+    double min_rate = 1.0 / 30;
+};
+
+/// The place of an entry among those that share rates. `count` 0 means that it
+/// is not known; such an entry has no requests.
+struct entry_seat
+{
+    std::uint32_t rank = 0;
+    std::uint32_t count = 0;
+
+    bool operator==(const entry_seat&) const = default;
+};
+
+/// A rate to share. `key` differs between rates, so that each begins its turn
+/// at another entry.
+struct shared_rate
+{
+    double requests_per_s = 0;
+    std::uint64_t key = 0;
+};
+
+/// What an entry used in the latest slot in which it used anything.
+struct slot_use
+{
+    std::int64_t slot = 0;
+    std::uint32_t requests = 0;
+};
+
+/// The number of the slot that contains `true_time`, a time of day that is
+/// about equal at all entries.
+std::int64_t slot_at(const slot_options& options, duration true_time);
+
+/// Requests that the entry may send in a slot.
+std::uint32_t requests_in_slot(
+    const slot_options& options,
+    const shared_rate& rate,
+    const entry_seat& seat,
+    std::int64_t slot);
+
+/// Requests that the entry may still send in the slot at `true_time`.
+std::uint32_t requests_left(
+    const slot_options& options,
+    const shared_rate& rate,
+    const entry_seat& seat,
+    const slot_use& use,
+    duration true_time);
+
+/// Counts a request that is sent at `true_time`.
+void record_use(const slot_options& options, slot_use& use, duration true_time);
+
+/// Time until the entry may send its request number `ahead`, counted from 0
+/// among those that it may still send; nothing if its seat is not known.
+std::optional<duration> time_to_request(
+    const slot_options& options,
+    const shared_rate& rate,
+    const entry_seat& seat,
+    const slot_use& use,
+    std::uint32_t ahead,
+    duration true_time);
+
+} // namespace bergamotusher::admission
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -95,6 +95,12 @@
         reports_to_all_ = true;
         return send_reports(now);
     }
+    if (view_.is_limit_report_due && now < next_report_at_ &&
+        now - limits_reported_at_ >= options_.min_leader_report_interval)
+    {
+        reports_to_all_ = true;
+        return send_reports(now);
+    }
     if (now < next_report_at_)
     {
         if (view_.limits_nearly_used &&
@@ -118,6 +124,18 @@
             now);
     }
     remove_expired(view_.directory, options_.upstream_retention, now);
+    // A limit may be heard of before its upstream, and then has that long to
+    // appear in the directory.
+    const std::int64_t true_ms = true_time(view_, now) / 1ms;
+    drop_obsolete(
+        view_.upstream_limits,
+        [&](const site::stated_limit& each)
+        {
+            return view_.directory.upstreams.count(each.upstream) > 0 ||
+                   true_ms - each.read_at_ms <
+                       options_.withdrawn_limit_retention / 1ms;
+        },
+        true_ms - options_.withdrawn_limit_retention / 1ms);
     send_reports(now);
 }
 
@@ -131,6 +149,11 @@
         reports_to_all_ = true;
         crashes_reported_at_ = now;
     }
+    if (std::exchange(view_.is_limit_report_due, false))
+    {
+        reports_to_all_ = true;
+        limits_reported_at_ = now;
+    }
     const std::string base_report = encode_report(now, false);
     ++report_round_;
     const bool is_urgent = draining_ || std::exchange(reports_to_all_, false);
@@ -246,6 +269,45 @@
         relay_.on_content_suspended();
 }
 
+void control_link::write_limits(pb::entry_report& report) const
+{
+    const site::limit_board& board = view_.upstream_limits;
+    report.set_limit_digest(board.digest);
+    const bool is_known_everywhere = std::all_of(
+        nodes_.begin(),
+        nodes_.end(),
+        [&](const auto& node)
+        { return node.second.limit_digest == board.digest; });
+    if (is_known_everywhere)
+        return;
+    for (const site::stated_limit& each : statements(board))
+        site::write(*report.add_limits(), each);
+}
+
+void control_link::read_limits(
+    const node_id& from, const pb::control_report& report, time_point now)
+{
+    nodes_[from].limit_digest = report.limit_digest();
+    for (const pb::stated_limit& each : report.limits())
+    {
+        const auto statement = site::read(each);
+        if (!statement || !record_limit(view_, *statement))
+            continue;
+        log_.write(
+            log_line(decision::upstream_limited)
+                .with("upstream", statement->upstream.value)
+                .with("requests_per_s", statement->requests_per_s.value_or(-1))
+                .with(
+                    "age_ms",
+                    true_time(view_, now) / 1ms - statement->read_at_ms)
+                .with("from", from.value),
+            now);
+    }
+    // Only the leader's list of entries is one that all entries go by.
+    if (report.entry_number() > 0 && report.is_leader() && from == leader_)
+        view_.seat = {report.entry_number() - 1, report.entries()};
+}
+
 std::string control_link::encode_report(time_point now, bool to_leader)
 {
     pb::entry_report report;
@@ -258,6 +320,7 @@
     report.set_domain(options_.domain.value);
     report.set_directory_digest(view_.directory.digest);
     write_crashes(report, now);
+    write_limits(report);
     const std::uint64_t newest_window =
         view_.started_requests.empty() ? 0
                                        : view_.started_requests.rbegin()->first;
@@ -313,6 +376,8 @@
         load.set_prompt_rate(
             static_cast<double>(counts.prefill_tokens - before.prefill_tokens) /
             seconds);
+        load.set_request_rate(
+            static_cast<double>(counts.sent - before.sent) / seconds);
         before = counts;
         site::write(
             *load.mutable_prefill_speed(), view_.prefill_speeds[service]);
@@ -449,6 +514,7 @@
             view_.prefill_speeds[{each.service()}],
             site::read(each.prefill_speed()));
     read_crashes(report, now);
+    read_limits(from, report, now);
     if (report.is_leader())
     {
         std::set<std::string> silent(
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -53,6 +53,9 @@
     duration node_timeout = 2s;
     /// Upstreams that no control node has confirmed for this long are removed.
     duration upstream_retention = 60s;
+    /// How long it is remembered that an upstream named a limit that it no
+    /// longer names.
+    duration withdrawn_limit_retention = 30s;
     /// Upstreams that the leader no longer lists are removed unless they were
     /// announced within this time.
     duration unlisted_retention = 5s;
@@ -99,6 +102,8 @@
     {
         time_point last_report_at;
         time_point last_reply_at;
+        /// Of the limits of upstreams that it knows, by its last reply.
+        std::uint64_t limit_digest = 0;
         bool lost = false;
     };
 
@@ -108,6 +113,11 @@
     void write_limit_use(wire::site::entry_report& report, time_point now);
     void write_crashes(wire::site::entry_report& report, time_point now) const;
     void read_crashes(const wire::site::control_report& report, time_point now);
+    void write_limits(wire::site::entry_report& report) const;
+    void read_limits(
+        const node_id& from,
+        const wire::site::control_report& report,
+        time_point now);
     void install_grants(
         const wire::site::control_report& report, time_point report_sent_at);
     void install_site(
@@ -128,6 +138,7 @@
     time_point next_report_at_;
     time_point leader_reported_at_;
     time_point crashes_reported_at_;
+    time_point limits_reported_at_;
     /// What the last report to the leader asked for.
     admission::account_amounts reported_wanted_;
     std::uint64_t report_round_ = 0;
--- a/src/gateway/dialect.hpp
+++ b/src/gateway/dialect.hpp
@@ -76,6 +76,11 @@
         std::uint32_t slots = 0;
     };
     std::optional<load> upstream_load;
+    /// Requests a second that the upstream takes from all entries together, if
+    /// the answer names a limit.
+    std::optional<double> limit;
+    /// The answer names a limit that is not one number of 0 or more.
+    bool has_unreadable_limit = false;
     /// Idle timeout of the connection, if the answer states one.
     std::optional<duration> idle_time;
     bool closes = false;
--- a/src/gateway/entry_view.cpp
+++ b/src/gateway/entry_view.cpp
@@ -46,6 +46,8 @@
             found->second.value.state != site::upstream_state::gone;
         i = still_listed ? std::next(i) : view.upstreams.erase(i);
     }
+    // Statements on upstreams that the directory does not list are kept: the
+    // limit may be heard of before the upstream.
     view.by_service.clear();
     for (const auto& [id, each] : view.directory.upstreams)
     {
@@ -62,6 +64,8 @@
         }
         known_upstream->value = each.value;
         known_upstream->id_hash = hash_of(id.value);
+        known_upstream->limit =
+            limit_of(view.upstream_limits, id, each.value.started_ms);
         current_addresses.insert(each.value.address);
         view.by_service[each.value.service].push_back(known_upstream.get());
     }
@@ -75,12 +79,26 @@
     return removed_addresses;
 }
 
+duration true_time(const entry_view& view, time_point now)
+{
+    return now.time_since_epoch() +
+           std::chrono::milliseconds(view.true_time_offset_ms);
+}
+
 std::uint64_t usage_window_at(const entry_view& view, time_point now)
 {
-    const duration true_time =
-        now.time_since_epoch() +
-        std::chrono::milliseconds(view.true_time_offset_ms);
-    return static_cast<std::uint64_t>(true_time / view.usage_window);
+    return static_cast<std::uint64_t>(true_time(view, now) / view.usage_window);
+}
+
+bool record_limit(entry_view& view, const site::stated_limit& value)
+{
+    if (!merge(view.upstream_limits, value))
+        return false;
+    const auto found = view.upstreams.find(value.upstream);
+    if (found != view.upstreams.end() &&
+        found->second->value.started_ms == value.started_ms)
+        found->second->limit = value.requests_per_s;
+    return true;
 }
 
 std::vector<upstream_view*> eligible_upstreams(
--- a/src/gateway/entry_view.hpp
+++ b/src/gateway/entry_view.hpp
@@ -4,10 +4,12 @@
 #pragma once
 
 #include "admission/shared_limit.hpp"
+#include "admission/slot_share.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/placement.hpp"
 #include "gateway/retry_budget.hpp"
 #include "site/site_state.hpp"
+#include "site/stated_limits.hpp"
 #include "site/upstream_directory.hpp"
 
 #include <map>
@@ -41,12 +43,13 @@
 };
 
 /// Requests of one service at this entry. `running` and `waiting` are current
-/// values; the tokens are counted since the start.
+/// values; tokens and sent requests are counted since the start.
 struct service_counts
 {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint64_t prefill_tokens = 0;
+    std::uint64_t sent = 0;
 };
 
 struct entry_view
@@ -78,6 +81,13 @@
     std::set<account_id> exhausted_limits;
     /// The leader should receive a report before the regular one is due.
     bool limits_nearly_used = false;
+    /// The limits that upstreams name, and this entry's place among those that
+    /// share them.
+    site::limit_board upstream_limits;
+    admission::entry_seat seat;
+    /// Control nodes should hear of `upstream_limits` before the regular
+    /// report.
+    bool is_limit_report_due = false;
     crash_watch crashes;
     std::map<service_name, retry_budget> retry_budgets;
     part_request_rates rates;
@@ -92,6 +102,9 @@
         started_requests;
 };
 
+/// The time of day that the nodes agree on, as a span since the Unix epoch.
+duration true_time(const entry_view& view, time_point now);
+
 /// The number of the usage window that contains `now`.
 std::uint64_t usage_window_at(const entry_view& view, time_point now);
 
@@ -99,6 +112,9 @@
 /// addresses that no upstream uses any more.
 std::vector<std::string> sync_upstreams(entry_view& view, time_point now);
 
+/// Records a statement on an upstream's limit; true if the limit changed.
+bool record_limit(entry_view& view, const site::stated_limit& value);
+
 /// The upstreams to which a request of `service` may be sent. During a version
 /// move these are the upstreams of the target version if `draw` (0 to 999) is
 /// below the target's share, otherwise those of the old version, which is the
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -41,6 +41,49 @@
 
 } // namespace
 
+bool is_within_limit(const upstream_view& view, const limit_terms& terms)
+{
+    return !view.limit || admission::requests_left(
+                              terms.options,
+                              {*view.limit, view.id_hash},
+                              terms.seat,
+                              view.limit_use,
+                              terms.true_time) > 0;
+}
+
+void record_limit_use(upstream_view& view, const limit_terms& terms)
+{
+    if (view.limit)
+        record_use(terms.options, view.limit_use, terms.true_time);
+}
+
+std::optional<duration> time_to_limited_request(
+    const std::vector<upstream_view*>& upstreams,
+    std::uint32_t ahead,
+    const limit_terms& terms)
+{
+    std::vector<duration> times;
+    for (const upstream_view* each : upstreams)
+    {
+        if (each->value.state != site::upstream_state::ready || !each->limit)
+            continue;
+        for (std::uint32_t i = 0; i <= ahead; ++i)
+            if (const auto time = admission::time_to_request(
+                    terms.options,
+                    {*each->limit, each->id_hash},
+                    terms.seat,
+                    each->limit_use,
+                    i,
+                    terms.true_time))
+                times.push_back(*time);
+    }
+    if (times.size() <= ahead)
+        return std::nullopt;
+    const auto nth = times.begin() + ahead;
+    std::nth_element(times.begin(), nth, times.end());
+    return *nth;
+}
+
 std::uint32_t estimate_running(
     const placement_options& options, const upstream_view& view, time_point now)
 {
@@ -85,6 +128,11 @@
                 continue;
             if (!last_resort && (each->is_silent || now < each->avoid_until))
                 continue;
+            if (!is_within_limit(*each, request.limits))
+            {
+                best.is_limited = true;
+                continue;
+            }
             const std::uint32_t running = estimate_running(options, *each, now);
             if (each->value.slots > 0 &&
                 running >= options.slot_utilization_max * each->value.slots)
@@ -120,9 +168,10 @@
                 best.running_ms = running_ms;
             }
         }
-        if (best.upstream != nullptr || best.all_full)
+        if (best.upstream != nullptr || best.all_full || best.is_limited)
             break;
     }
+    best.is_limited = best.is_limited && best.upstream == nullptr;
     return best;
 }
 
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -2,6 +2,7 @@
 // token (or answer), where distance and recent failures are added as time.
 #pragma once
 
+#include "admission/slot_share.hpp"
 #include "gateway/cache_prediction.hpp"
 #include "gateway/dialect.hpp"
 #include "routing/prefill_speed.hpp"
@@ -82,8 +83,35 @@
     time_point avoid_until;
     /// The leader reports that no control node has heard from it lately.
     bool is_silent = false;
+    /// Requests a second that it takes from all entries together, if it names a
+    /// limit, and what this entry used of its part.
+    std::optional<double> limit;
+    admission::slot_use limit_use;
+    bool has_logged_unreadable_limit = false;
 };
 
+/// What decides on an entry's part of the limits that upstreams name.
+struct limit_terms
+{
+    admission::slot_options options;
+    admission::entry_seat seat;
+    duration true_time{};
+};
+
+/// Whether the entry may send a request to the upstream now, by the limit that
+/// the upstream names.
+bool is_within_limit(const upstream_view& view, const limit_terms& terms);
+
+/// Counts a request that is sent to the upstream.
+void record_limit_use(upstream_view& view, const limit_terms& terms);
+
+/// Time until the entry may send its request number `ahead`, counted from 0, to
+/// one of `upstreams`, all of which name a limit; nothing if that is not known.
+std::optional<duration> time_to_limited_request(
+    const std::vector<upstream_view*>& upstreams,
+    std::uint32_t ahead,
+    const limit_terms& terms);
+
 /// Properties of a request that affect its placement.
 struct placement_request
 {
@@ -97,6 +125,7 @@
     std::uint32_t entries = 1;
     /// What was learned of the service's engines.
     routing::prefill_speed speed;
+    limit_terms limits;
 };
 
 struct placement_choice
@@ -111,6 +140,9 @@
     double running_ms = 0;
     /// Some upstreams are ready, but all of them are full.
     bool all_full = false;
+    /// None was chosen, and some would have been but for the limits that they
+    /// name.
+    bool is_limited = false;
 };
 
 /// Selects one of `upstreams`, which are those of the request's service and
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -194,6 +194,7 @@
     placement.rates = &view_.rates;
     placement.entries = view_.entries;
     placement.speed = view_.prefill_speeds[req->service];
+    placement.limits = current_limit_terms(uptime());
     return select_upstream(
         options_.placement,
         eligible_upstreams(view_, req->service, req->version_draw),
@@ -211,6 +212,8 @@
     const placement_choice choice = choose_upstream(req);
     if (choice.upstream != nullptr)
         return send(req, choice);
+    if (choice.is_limited && !choice.all_full)
+        return wait_for_limit(req);
     if (!req->tried.empty() && !choice.all_full)
         return handle_failed_attempt(
             req, attempt_outcome::not_sent, "no other upstream");
@@ -366,6 +369,7 @@
     req->earlier_events = req->events.events;
     req->events.went_back = false;
     ++upstream.own_running;
+    record_limit_use(upstream, current_limit_terms(now));
     upstream.own_uncached_tokens += choice.uncached_tokens;
     req->queued_tokens = upstream.own_uncached_tokens;
     const site::service* service = find_service(*req->site, req->service);
@@ -378,6 +382,7 @@
     service_counts& counts = view_.services[req->service];
     ++counts.running;
     counts.prefill_tokens += choice.uncached_tokens;
+    ++counts.sent;
     ++tally(*req).sent;
     ++counters_.sent;
     if (req->is_sampled)
@@ -456,6 +461,7 @@
     reject_late(now);
     for (auto& [service, waiting] : waiting_)
         dispatch_waiting(service);
+    reject_beyond_limits();
     reject_unservable(now);
 }
 
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -74,6 +74,14 @@
     /// How long a request waits for the answer to a report that asks for a
     /// larger part of its account's limit.
     duration grant_wait_max = 300ms;
+    /// How entries share the limits that upstreams name.
+    admission::slot_options upstream_limits;
+    /// A request waits for a free part of an upstream's limit if that comes
+    /// within this fraction of the route's target latency; else it is refused.
+    double limit_wait_fraction = 0.5;
+    /// The longest retry delay given to callers where upstreams name limits:
+    /// those may end at any moment.
+    duration limit_retry_after_max = 30s;
     /// A site is expected for this long after a start or the end of a lease.
     duration site_expected_within = 4s;
     /// The largest answer that is buffered until it is complete.
@@ -97,6 +105,8 @@
     std::uint64_t retried = 0;
     std::uint64_t resumed = 0;
     std::uint64_t events = 0;
+    /// Requests that were refused since all upstreams name limits.
+    std::uint64_t limited = 0;
     std::map<error_kind, std::uint64_t> rejected;
     /// Number of requests by upper bound in ms of the time to the first byte.
     std::map<int, std::uint64_t> first_byte_histogram;
@@ -183,6 +193,15 @@
     /// Chooses a service and a version, and dispatches the request.
     void place(const request_ptr& req);
     placement_choice choose_upstream(const request_ptr& req);
+    limit_terms current_limit_terms(time_point now) const;
+    /// Queues a request whose upstreams all name limits, or refuses it if no
+    /// part of them is free in time.
+    void wait_for_limit(const request_ptr& req);
+    /// Refuses the requests that wait for limits which have become too low.
+    void reject_beyond_limits();
+    void reject_limited(const request_ptr& req);
+    /// Records what the upstream of the attempt says of itself in an answer.
+    void read_statement(const request_ptr& req, const answer_metadata& facts);
     void dispatch(const request_ptr& req);
     /// Whether the directory is still expected: after a start the site can be
     /// received before it.
@@ -298,6 +317,9 @@
     /// Numbers of the requests by deadline.
     std::multimap<time_point, std::uint64_t> deadlines_;
     std::map<service_name, std::deque<request_ptr>> waiting_;
+    /// When the next caller that is refused for limits should return, by
+    /// service.
+    std::map<service_name, time_point> limited_return_at_;
     std::deque<request_ptr> waiting_for_site_;
     std::deque<request_ptr> waiting_for_grant_;
     /// Requests that were lost with upstreams that are being probed.
--- a/src/gateway/relay_answers.cpp
+++ b/src/gateway/relay_answers.cpp
@@ -168,6 +168,7 @@
     req->reason = answer.reason;
     req->fields = answer.fields;
     req->answer = facts;
+    read_statement(req, facts);
     req->is_streaming = req->is_stream() && is_success(answer.status) &&
                         facts.is_signed && !facts.is_encoded &&
                         allows_body(req->message.method, answer.status);
--- a/src/site/control_duties.cpp
+++ b/src/site/control_duties.cpp
@@ -168,8 +168,15 @@
                 continue;
             demand.requests += found->second.requests;
             demand.prompt_tokens += found->second.prompt_tokens;
+            demand.request_rate += found->second.request_rate;
             speeds.push_back(found->second.speed);
         }
+        for (const auto& [id, upstream] : directory_.upstreams)
+            if (upstream.value.service == each.name &&
+                upstream.value.state == upstream_state::ready)
+                if (const auto limit = limit_of(
+                        upstream_limits_, id, upstream.value.started_ms))
+                    demand.limits.push_back(*limit);
         const routing::prefill_speed median = routing::median_speed(
             options_.rent.prefill_speed, std::move(speeds));
         if (median.samples > 0)
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -25,9 +25,6 @@
 constexpr duration tick_interval = 100ms;
 /// Interval of the housekeeping of what upstreams and entries told.
 constexpr duration refresh_interval = 1s;
-/// An entry is counted for sharing rate limits for this long after its last
-/// report.
-constexpr duration limit_share_timeout = 10s;
 constexpr std::size_t peer_mailbox_capacity = 4096;
 constexpr std::size_t control_mailbox_capacity = 1024;
 /// Announcements that an upstream may miss before it is reported as silent.
@@ -356,6 +353,7 @@
     entry.incarnation = message.incarnation;
     record_run(entry.run, report.run_id(), message.incarnation);
     entry.site_version = report.site_version();
+    entry.limit_digest = report.limit_digest();
     entry.ready = report.ready();
     entry.heard_at = now;
     entry.asked_at_us = report.asked_at_us();
@@ -408,10 +406,12 @@
             demand.requests =
                 static_cast<double>(each.running() + each.waiting());
             demand.prompt_tokens = each.prompt_rate();
+            demand.request_rate = each.request_rate();
             demand.speed = site::read(each.prefill_speed());
         }
     }
     read_crashes(report, now);
+    read_limits(report, now);
     send_report(message.from, report.asked_at_us(), report.uptime_us() > 0);
     send_directory_update(message.from, report.directory_digest(), now);
 }
@@ -444,11 +444,7 @@
     report.add_members(options_.self.value);
     for (const auto& [service, move] : site_->moves)
         write(*report.add_moves(), move);
-    std::uint32_t entries = 0;
-    for (const auto& [id, each] : entries_)
-        if (now - each.heard_at < limit_share_timeout)
-            ++entries;
-    report.set_entries(entries);
+    write_seat(report, to, now);
     report.set_is_leader(is_leader_);
     if (is_leader_ && answers_use)
         for (const auto& [account, granted] : admission::grant(
@@ -456,7 +452,7 @@
                  options_.limits,
                  to,
                  limit_totals_,
-                 entries,
+                 report.entries(),
                  now))
         {
             pb::account_amount& amount = *report.add_allowances();
@@ -474,6 +470,7 @@
         for (const upstream_id& id : silent_upstreams_)
             report.add_silent_upstreams(id.value);
     write_crashes(report, now);
+    write_limits(report, entry);
     send(to, wire::control_report, report.SerializeAsString());
 }
 
@@ -503,9 +500,15 @@
             directory_,
             options_.announcement_interval * max_missed_announcements,
             now);
+    // The leader tells entries; the other nodes answer their reports.
+    if (std::exchange(upstream_limits_changed_, false) && is_leader_)
+        for (const auto& [id, entry] : entries_)
+            if (entry.limit_digest != upstream_limits_.digest)
+                send_report(id, 0, false);
     if (now - refreshes_sent_at_ >= refresh_interval)
     {
         refreshes_sent_at_ = now;
+        drop_obsolete_limits(now);
         share_refreshes(now);
         remove_expired(directory_, options_.retention, now);
         drop_expired_uses(limit_usage_, options_.limits, now);
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -19,6 +19,7 @@
 #include "site/move_policy.hpp"
 #include "site/rent_policy.hpp"
 #include "site/site_store.hpp"
+#include "site/stated_limits.hpp"
 #include "site/upstream_directory.hpp"
 #include "site/usage_ledger.hpp"
 
@@ -103,6 +104,12 @@
     duration announcement_interval = 1200ms;
     /// Upstreams and entries without a message for this long are removed.
     duration retention = 30s;
+    /// A node that has run for this long has heard of every entry, and so may
+    /// tell each its place among them.
+    duration entry_warm_up = 3s;
+    /// How long it is remembered that an upstream named a limit that it no
+    /// longer names.
+    duration withdrawn_limit_retention = 30s;
     /// Maximum age of the state returned to a reader.
     duration max_read_age = 1200ms;
     /// Time limit for committing an operator's change; operators wait for 1 s.
@@ -132,6 +139,8 @@
     std::uint64_t incarnation = 0;
     entry_run run;
     std::uint64_t site_version = 0;
+    /// Of the limits of upstreams that it knows.
+    std::uint64_t limit_digest = 0;
     bool ready = false;
     time_point heard_at;
     /// When it sent its last report, by its own clock.
@@ -228,6 +237,16 @@
         const upstream_id& id, const departure& value, acknowledgement done);
     /// Applies the recorded departures to the directory.
     void apply_departures(time_point now);
+    void read_limits(const wire::site::entry_report& report, time_point now);
+    void write_limits(
+        wire::site::control_report& report, const known_entry& entry) const;
+    /// Writes the place of `entry` among the entries that share limits, and
+    /// their number.
+    void write_seat(
+        wire::site::control_report& report,
+        const node_id& entry,
+        time_point now) const;
+    void drop_obsolete_limits(time_point now);
     void read_crashes(const wire::site::entry_report& report, time_point now);
     void
     write_crashes(wire::site::control_report& report, time_point now) const;
@@ -333,6 +352,10 @@
     admission::crash_options crash_options_;
     /// Evidence of all entries; kept by every node.
     admission::crash_ledger crashes_;
+    /// The limits that upstreams name; kept by every node.
+    limit_board upstream_limits_;
+    /// Entries are told of `upstream_limits_` with the next tick.
+    bool upstream_limits_changed_ = false;
     admission::use_ledger limit_usage_;
     /// The limits of the accounts in the site in force.
     admission::account_amounts limit_totals_;
--- a/src/site/rent_policy.cpp
+++ b/src/site/rent_policy.cpp
@@ -120,6 +120,20 @@
     return planned;
 }
 
+/// Upstreams that must stand in for those that name a limit below the rate that
+/// each upstream would have at the planned load.
+double
+lost_to_limits(const service_demand& demand, double request_rate, double need)
+{
+    if (request_rate <= 0 || need <= 0)
+        return 0;
+    const double planned_rate = request_rate / need;
+    double lost = 0;
+    for (const double limit : demand.limits)
+        lost += 1 - std::min(1.0, limit / planned_rate);
+    return lost;
+}
+
 double update_peak_need(
     const rent_options& options,
     rent_state& state,
@@ -145,12 +159,15 @@
         options.demand_smoothing * (demand.requests - planned.requests);
     planned.prompt_tokens += options.demand_smoothing *
                              (demand.prompt_tokens - planned.prompt_tokens);
+    planned.request_rate +=
+        options.demand_smoothing * (demand.request_rate - planned.request_rate);
     double current_need = std::max(
         planned.requests / planned_requests(options, counts.median_slots),
         planned.prompt_tokens /
             planned_prompt_rate(
                 options,
                 update_planned_speed(options, state, service, demand.speed)));
+    current_need += lost_to_limits(demand, planned.request_rate, current_need);
     const auto initial = state.initial_on_demand.find(service);
     if (demand.requests <= 0 && state.demand_since.count(service) == 0 &&
         initial != state.initial_on_demand.end())
--- a/src/site/rent_policy.hpp
+++ b/src/site/rent_policy.hpp
@@ -110,6 +110,11 @@
     /// A version move is active. The upstreams of both versions are needed
     /// until its verdict, so none is released.
     bool is_moving = false;
+    /// Requests sent to upstreams per second, over all entries.
+    double request_rate = 0;
+    /// Requests per second that ready upstreams take at most, of those that
+    /// name a limit.
+    std::vector<double> limits;
 };
 
 /// Reclaimable upstreams to rent in each of `domains` failure domains, for each
--- a/src/site/site_codec.cpp
+++ b/src/site/site_codec.cpp
@@ -1,6 +1,7 @@
 #include "site/site_codec.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bergamotusher::site
 {
@@ -91,6 +92,27 @@
     return to;
 }
 
+void write(pb::stated_limit& to, const stated_limit& from)
+{
+    to.set_upstream(from.upstream.value);
+    to.set_started_ms(from.started_ms);
+    to.set_requests_per_s(from.requests_per_s.value_or(0));
+    to.set_is_withdrawn(!from.requests_per_s);
+    to.set_read_at_ms(from.read_at_ms);
+}
+
+std::optional<stated_limit> read(const pb::stated_limit& from)
+{
+    const double rate = from.requests_per_s();
+    if (!std::isfinite(rate) || rate < 0)
+        return std::nullopt;
+    stated_limit to{
+        {from.upstream()}, from.started_ms(), rate, from.read_at_ms()};
+    if (from.is_withdrawn())
+        to.requests_per_s.reset();
+    return to;
+}
+
 std::string encode_directory(const directory_message& message)
 {
     pb::directory_news encoded;
--- a/src/site/site_codec.hpp
+++ b/src/site/site_codec.hpp
@@ -4,6 +4,7 @@
 #include "admission/crash_ledger.hpp"
 #include "routing/prefill_speed.hpp"
 #include "site/site_state.hpp"
+#include "site/stated_limits.hpp"
 #include "site/upstream_directory.hpp"
 #include "wire/site.pb.h"
 
@@ -26,6 +27,10 @@
 /// Returns nothing if the state is not a known `upstream_state`.
 std::optional<upstream> read(const wire::site::upstream_value& from);
 
+void write(wire::site::stated_limit& to, const stated_limit& from);
+/// Returns nothing if the limit is not a number of requests.
+std::optional<stated_limit> read(const wire::site::stated_limit& from);
+
 struct forwarded_announcement
 {
     upstream value;
--- /dev/null
+++ b/src/site/stated_limits.cpp
@@ -0,0 +1,65 @@
+#include "site/stated_limits.hpp"
+
+#include "base/hash.hpp"
+
+#include <bit>
+
+namespace bergamotusher::site
+{
+
+bool merge(limit_board& board, const stated_limit& value)
+{
+    const auto [found, is_new] = board.limits.try_emplace(value.upstream);
+    stated_limit& known = found->second;
+    const bool had_limit = !is_new && known.started_ms == value.started_ms;
+    const bool is_older =
+        !is_new && (value.started_ms < known.started_ms ||
+                    (had_limit && value.read_at_ms < known.read_at_ms));
+    const bool is_looser = had_limit && value.read_at_ms == known.read_at_ms &&
+                           known.requests_per_s &&
+                           (!value.requests_per_s ||
+                            *value.requests_per_s > *known.requests_per_s);
+    if (is_older || is_looser)
+        return false;
+    const std::optional<double> before =
+        had_limit ? known.requests_per_s : std::nullopt;
+    const bool is_changed = value.requests_per_s != before;
+    known = value;
+    if (is_changed || !had_limit)
+        update_digest(board);
+    return is_changed;
+}
+
+std::optional<double> limit_of(
+    const limit_board& board,
+    const upstream_id& upstream,
+    std::int64_t started_ms)
+{
+    const auto found = board.limits.find(upstream);
+    if (found == board.limits.end() || found->second.started_ms != started_ms)
+        return std::nullopt;
+    return found->second.requests_per_s;
+}
+
+std::vector<stated_limit> statements(const limit_board& board)
+{
+    std::vector<stated_limit> all;
+    all.reserve(board.limits.size());
+    for (const auto& [id, each] : board.limits)
+        all.push_back(each);
+    return all;
+}
+
+void update_digest(limit_board& board)
+{
+    board.digest = 0;
+    for (const auto& [id, each] : board.limits)
+        if (each.requests_per_s)
+            board.digest += mixed_hash(
+                hash_of(id.value),
+                mixed_hash(
+                    static_cast<std::uint64_t>(each.started_ms),
+                    std::bit_cast<std::uint64_t>(*each.requests_per_s)));
+}
+
+} // namespace bergamotusher::site
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -48,6 +48,12 @@
         facts.attempt = *value;
     facts.is_signed = find_field(fields, "Signed") != nullptr;
     facts.not_run = find_field(fields, "Not-Run") != nullptr;
+    if (const auto* value = find_field(fields, "Limit"))
+    {
+        facts.has_unreadable_limit = *value == "bad";
+        if (!facts.has_unreadable_limit)
+            facts.limit = std::stod(*value);
+    }
     return facts;
 }
 
@@ -271,12 +277,16 @@
     return text.find(part) != std::string::npos;
 }
 
-std::string answer(int status, const std::string& body, int attempt)
+std::string answer(
+    int status,
+    const std::string& body,
+    int attempt,
+    const std::string& more_fields)
 {
     return "HTTP/1.1 " + std::to_string(status) +
-           " X\r\nSigned: yes\r\nAttempt: " + std::to_string(attempt) +
-           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           body;
+           " X\r\nSigned: yes\r\nAttempt: " + std::to_string(attempt) + "\r\n" +
+           more_fields + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
 }
 
 std::string stream_head(int attempt)
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -20,8 +20,8 @@
 using namespace bergamotusher;
 using namespace bergamotusher::gateway;
 
-/// The dialect of the tests, with the fields Attempt, Signed, Not-Run and
-/// Resume.
+/// The dialect of the tests, with the fields Attempt, Signed, Not-Run, Limit
+/// ("bad" cannot be read) and Resume.
 header_codec test_codec();
 
 /// An upstream that answers each request with its next script.
@@ -79,8 +79,12 @@
 
 bool contains(const std::string& text, const std::string& part);
 
-/// A complete answer of a scripted upstream.
-std::string answer(int status, const std::string& body, int attempt = 1);
+/// A complete answer of a scripted upstream; `more_fields` are whole lines.
+std::string answer(
+    int status,
+    const std::string& body,
+    int attempt = 1,
+    const std::string& more_fields = {});
 
 /// The head of a stream, and one event of it as a chunk.
 std::string stream_head(int attempt = 1);
--- a/tests/platform/header_dialect_test.cpp
+++ b/tests/platform/header_dialect_test.cpp
@@ -89,6 +89,44 @@
     CHECK(facts.idle_time == duration(5s));
     CHECK(facts.closes);
 
+    SECTION("reads the limit that an upstream names")
+    {
+        const auto read = [](const header_fields& fields)
+        {
+            return platform_dialect.read_answer(200, fields);
+        };
+        CHECK_FALSE(read({}).limit);
+        CHECK_FALSE(read({}).has_unreadable_limit);
+        CHECK(read({{"server-limit", " 1.25 "}}).limit == 1.25);
+        CHECK(read({{"Server-Limit", "0"}}).limit == 0.0);
+
+        SECTION("and says which cannot be read")
+        {
+            for (const char* value :
+                 {"",
+                  " ",
+                  "-1",
+                  "many",
+                  "1.5 a second",
+                  "1e400",
+                  "1e2",
+                  "nan",
+                  "inf",
+                  "0x10",
+                  "1,2",
+                  "1;2"})
+            {
+                const auto facts = read({{"Server-Limit", value}});
+                INFO("the value \"" << value << "\"");
+                CHECK_FALSE(facts.limit);
+                CHECK(facts.has_unreadable_limit);
+            }
+            const auto twice =
+                read({{"Server-Limit", "1"}, {"Server-Limit", "2"}});
+            CHECK_FALSE(twice.limit);
+            CHECK(twice.has_unreadable_limit);
+        }
+    }
     SECTION("recognizes requests that the upstream did not run")
     {
         CHECK(platform_dialect.read_answer(421, {}).not_run);
--- a/tests/site/rent_policy_test.cpp
+++ b/tests/site/rent_policy_test.cpp
@@ -147,7 +147,7 @@
     return platform;
 }
 
-constexpr service_demand steady_demand{60, 130'000, {}};
+const service_demand steady_demand{60, 130'000, {}};
 
 } // namespace
 
@@ -389,3 +389,38 @@
     platform.run(30s, demand);
     CHECK(platform.count(market::on_demand) < before + 18);
 }
+
+TEST_CASE("upstreams that name a limit count as that much smaller")
+{
+    service_demand demand = steady_demand;
+    demand.request_rate = 90;
+    simulated_platform unlimited = platform_with_18_upstreams();
+    unlimited.run(40s, demand);
+    simulated_platform platform = platform_with_18_upstreams();
+    platform.run(40s, demand);
+    const double need_before = platform.state.last_basis[{"llm"}].need;
+
+    SECTION("and others are rented in their stead")
+    {
+        demand.limits = {1, 1, 1, 1};
+        platform.run(20s, demand);
+        const double need = platform.state.last_basis[{"llm"}].need;
+        CHECK(need > need_before + 2);
+        CHECK(need <= need_before + 4);
+        CHECK(platform.live_upstreams() > unlimited.live_upstreams());
+    }
+    SECTION("a limit above what they would get costs nothing")
+    {
+        demand.limits = {1000, 1000, 1000, 1000};
+        platform.run(20s, demand);
+        CHECK(platform.state.last_basis[{"llm"}].need == Approx(need_before));
+    }
+    SECTION("and are released once the limits have ended")
+    {
+        demand.limits = {0, 0, 0, 0};
+        platform.run(20s, demand);
+        demand.limits.clear();
+        platform.run(60s, demand);
+        CHECK(platform.state.last_basis[{"llm"}].need == Approx(need_before));
+    }
+}
