The soak's final reads run at the same time and within recoveryS

The final read of each control node had ten seconds of its own, one node after the other, so that the last of five could take almost a minute to come back.

The judge looks reads up by their bodies in a table, because comparing each read with each change takes long where bodies are large.

--- a/tests/soak/configuration_history.cpp
+++ b/tests/soak/configuration_history.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
 
 namespace soak
 {
@@ -134,6 +136,16 @@
     return version_in_force(time_point::max(), milliseconds(0));
 }
 
+std::size_t configuration_history::acknowledged_changes()
+{
+    const std::lock_guard lock(mutex_);
+    return static_cast<std::size_t>(std::count_if(
+        changes_.begin(),
+        changes_.end(),
+        [](const sent_change& each)
+        { return each.acknowledged_at.has_value(); }));
+}
+
 std::string configuration_history::since_start(time_point at) const
 {
     return std::to_string(
@@ -345,22 +357,23 @@
 void configuration_history::check_reads(
     std::vector<std::string>& violations) const
 {
+    std::unordered_map<std::string_view, const sent_change*> by_body;
+    for (const sent_change& each : changes_)
+        by_body.emplace(each.body, &each);
     for (const read_record& read : reads_)
     {
         const std::string subject =
             "read at node " + std::to_string(read.node) + ", sent at " +
             since_start(read.sent_at) + ", answered at " +
             since_start(read.answered_at);
-        const auto found = std::find_if(
-            changes_.begin(),
-            changes_.end(),
-            [&](const sent_change& each) { return each.body == read.body; });
-        if (found == changes_.end())
+        const auto known = by_body.find(read.body);
+        if (known == by_body.end())
         {
             violations.push_back(
                 subject + ": a configuration that nobody sent");
             continue;
         }
+        const sent_change* const found = known->second;
         if (found->spec.defect != configuration_defect::none ||
             found->rejected_at)
             violations.push_back(
@@ -471,12 +484,8 @@
 
 std::string configuration_history::summary()
 {
+    const std::size_t acknowledged = acknowledged_changes();
     const std::lock_guard lock(mutex_);
-    const auto acknowledged = std::count_if(
-        changes_.begin(),
-        changes_.end(),
-        [](const sent_change& each)
-        { return each.acknowledged_at.has_value(); });
     return std::to_string(changes_.size()) + " changes, " +
            std::to_string(acknowledged) + " acknowledged, " +
            std::to_string(probes_.size()) + " probes, " +
--- a/tests/soak/configuration_history.hpp
+++ b/tests/soak/configuration_history.hpp
@@ -21,6 +21,7 @@
 inline constexpr auto rollback_slack = std::chrono::milliseconds(250);
 inline constexpr auto outer_time = std::chrono::milliseconds(5000);
 inline constexpr auto ack_timeout = std::chrono::milliseconds(4000);
+inline constexpr auto recovery_time = std::chrono::seconds(12);
 /// Time after a route's timeout by which its requests have a final answer.
 inline constexpr auto answer_slack = std::chrono::milliseconds(500);
 
@@ -87,11 +88,12 @@
     void record_execution(
         const std::string& attempt, const std::string& service, time_point at);
     void record_read(const read_record& read);
-    /// No control node returned a configuration at the end of the run.
+    /// The control node returned no configuration at the end of the run.
     void record_final_read_missing(unsigned node);
 
     /// The newest valid acknowledged version.
     std::uint64_t acknowledged_version();
+    std::size_t acknowledged_changes();
     std::vector<std::string> violations();
     /// One line of counts: changes, probes judged, reads.
     std::string summary();
--- a/tests/soak/configuration_run.cpp
+++ b/tests/soak/configuration_run.cpp
@@ -29,7 +29,7 @@
 constexpr int max_calm_ms = 8500;
 /// Time without faults at the end, in which steady state is judged.
 constexpr int final_calm_ms = 12000;
-constexpr auto final_read_time = milliseconds(10000);
+constexpr auto read_timeout = milliseconds(1500);
 
 struct configuration_fixture
 {
@@ -282,14 +282,20 @@
     }
 }
 
-std::optional<std::string>
-read_configuration(configuration_fixture& fixture, unsigned node)
+std::optional<std::string> read_configuration(
+    configuration_fixture& fixture,
+    unsigned node,
+    std::chrono::duration<double> timeout = read_timeout)
 {
     read_record read;
     read.node = node;
     read.sent_at = clock_type::now();
     const reply answer = send_once(
-        fixture.cluster.control_address(node), "GET", "/Config.Get", "", 1.5);
+        fixture.cluster.control_address(node),
+        "GET",
+        "/Config.Get",
+        "",
+        timeout.count());
     if (answer.status != 200 || !answer.complete)
         return std::nullopt;
     read.answered_at = clock_type::now();
@@ -309,26 +315,41 @@
     }
 }
 
-/// Reads the configuration from every control node; each has to return the
-/// newest one before the time is over.
-void read_finally(configuration_fixture& fixture)
+/// Reads the configuration from a control node until a read that was sent
+/// `config_apply_time` after the start is answered; false if that takes longer
+/// than `recovery_time`.
+bool read_until_recovered(configuration_fixture& fixture, unsigned node)
 {
-    std::this_thread::sleep_for(config_apply_time);
-    for (const unsigned node : fixture.cluster.control_nodes())
+    const time_point started_at = clock_type::now();
+    const time_point deadline = started_at + recovery_time;
+    while (true)
     {
-        const time_point deadline = clock_type::now() + final_read_time;
-        while (!read_configuration(fixture, node))
-        {
-            if (clock_type::now() > deadline)
-            {
-                fixture.history.record_final_read_missing(node);
-                break;
-            }
-            sleep_ms(100);
-        }
+        const time_point sent_at = clock_type::now();
+        if (sent_at >= deadline)
+            return false;
+        const std::chrono::duration<double> timeout =
+            std::min<clock_type::duration>(read_timeout, deadline - sent_at);
+        if (read_configuration(fixture, node, timeout) &&
+            sent_at > started_at + config_apply_time)
+            return true;
+        sleep_ms(100);
     }
 }
 
+/// Reads the configuration from every control node at the same time; each has
+/// to return the newest one before `recovery_time` is over.
+void read_finally(configuration_fixture& fixture)
+{
+    std::map<unsigned, std::future<bool>> reads;
+    for (const unsigned node : fixture.cluster.control_nodes())
+        reads[node] = std::async(
+            std::launch::async,
+            [&fixture, node] { return read_until_recovered(fixture, node); });
+    for (auto& [node, recovered] : reads)
+        if (!recovered.get())
+            fixture.history.record_final_read_missing(node);
+}
+
 /// Sends the first configuration until it is acknowledged.
 void send_first(configuration_fixture& fixture)
 {
