--- a/tests/soak/test_cluster.cpp
+++ b/tests/soak/test_cluster.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <ctime>
 #include <filesystem>
 #include <fstream>
 #include <unistd.h>
@@ -233,6 +234,7 @@
     }
     // Another build's program shows how an earlier version behaves.
     const char* program = std::getenv("BERGAMOTUSHER_SOAK_PROGRAM");
+    const std::lock_guard lock(process_mutex_);
     processes_[index] = std::make_unique<child>(
         program != nullptr
             ? std::string(program)
@@ -254,9 +256,34 @@
     return *processes_[index];
 }
 
-void test_cluster::restart_with_empty_disk(unsigned index)
+void test_cluster::kill(unsigned index)
 {
+    const std::lock_guard lock(process_mutex_);
     process(index).kill();
+}
+
+void test_cluster::send(unsigned index, int signal)
+{
+    const std::lock_guard lock(process_mutex_);
+    process(index).send(signal);
+}
+
+std::chrono::nanoseconds test_cluster::processor_time(unsigned index)
+{
+    const std::lock_guard lock(process_mutex_);
+    clockid_t clock{};
+    timespec used{};
+    if (!process(index).running() ||
+        ::clock_getcpuclockid(process(index).id(), &clock) != 0 ||
+        ::clock_gettime(clock, &used) != 0)
+        return std::chrono::nanoseconds(0);
+    return std::chrono::seconds(used.tv_sec) +
+           std::chrono::nanoseconds(used.tv_nsec);
+}
+
+void test_cluster::restart_with_empty_disk(unsigned index)
+{
+    kill(index);
     files::remove_all(data_folder(index));
     start(index);
 }
@@ -269,7 +296,7 @@
             std::remove(control_nodes_.begin(), control_nodes_.end(), index),
             control_nodes_.end());
     }
-    process(index).kill();
+    kill(index);
     files::remove_all(data_folder(index));
 }
 
@@ -285,7 +312,7 @@
 void test_cluster::change_settings(unsigned index)
 {
     write_settings(index);
-    process(index).send(SIGHUP);
+    send(index, SIGHUP);
 }
 
 void test_cluster::fill_disk(unsigned index, bool full)
--- a/tests/soak/test_cluster.hpp
+++ b/tests/soak/test_cluster.hpp
@@ -82,6 +82,11 @@
     std::vector<unsigned> entries() const;
     void start(unsigned index);
     child& process(unsigned index);
+    /// These may be called while another thread starts the node.
+    void kill(unsigned index);
+    void send(unsigned index, int signal);
+    /// Processor time of the node's process; 0 if it does not run.
+    std::chrono::nanoseconds processor_time(unsigned index);
     /// Kills the node, deletes its data folder, and starts it again.
     void restart_with_empty_disk(unsigned index);
     /// Kills a control node for good and deletes its data folder.
@@ -128,6 +133,7 @@
     bool first_start_ = true;
     std::vector<std::unique_ptr<link>> message_links_;
     std::vector<std::unique_ptr<link>> service_links_;
+    std::mutex process_mutex_;
     std::vector<std::unique_ptr<child>> processes_;
     mutable std::mutex mutex_;
     std::vector<unsigned> control_nodes_;
