The soak plays a long history of large changes, then a loss of power

Cause (docs/incidents/config-long-history.md): the soak's runs changed configurations of at most a dozen routes and never limited the processor of most control nodes at once, so that a start whose cost follows the history could not show.

A third kind of run: operators send 200 to 450 changes of 100 to 800 routes in quick succession, meanwhile nodes are killed, a control node loses its disk or is replaced, links break. At the end all processes are killed at once, half the time one with its disk, and started again. Control nodes have 15 to 29 ms of processor time in 100 from then on, in a third of the runs from the start. The judge is the same: within recoveryS (12 s) each control node returns the newest acknowledged configuration, no read is older than an acknowledgement, nothing acknowledged is lost.

--- a/tests/soak/configuration_faults.cpp
+++ b/tests/soak/configuration_faults.cpp
@@ -76,6 +76,35 @@
     }
 }
 
+void configuration_faults::inject_random_loss()
+{
+    switch (random_() % 6)
+    {
+    case 0:
+        return kill_leader();
+    case 1:
+        return kill_control_nodes();
+    case 2:
+        return lose_disk();
+    case 3:
+        return replace_control_node();
+    case 4:
+        return disturb_message_link(random_node());
+    default:
+        return kill(random_node());
+    }
+}
+
+void configuration_faults::limit_control_nodes(milliseconds quota)
+{
+    log_fault(
+        "limit control nodes to " + std::to_string(quota.count()) +
+        " ms of processor time in each 100 ms");
+    for (const unsigned node : cluster_.control_nodes())
+        disturb(node);
+    quota_.emplace(cluster_, quota);
+}
+
 unsigned configuration_faults::random_control_node()
 {
     const std::vector<unsigned> nodes = cluster_.control_nodes();
@@ -145,7 +174,7 @@
         return;
     log_fault("kill node " + std::to_string(node));
     const auto end = disturb(node);
-    cluster_.process(node).kill();
+    cluster_.kill(node);
     schedule_end(
         random_duration(50, 2000),
         [this, node, end]
@@ -174,12 +203,12 @@
         return;
     log_fault("freeze node " + std::to_string(node));
     const auto end = disturb(node);
-    cluster_.process(node).send(SIGSTOP);
+    cluster_.send(node, SIGSTOP);
     schedule_end(
         random_duration(200, 6000),
         [this, node, end]
         {
-            cluster_.process(node).send(SIGCONT);
+            cluster_.send(node, SIGCONT);
             end();
             release(node);
         });
@@ -197,9 +226,9 @@
         {
             while (*running)
             {
-                cluster_.process(node).send(SIGSTOP);
+                cluster_.send(node, SIGSTOP);
                 std::this_thread::sleep_for(throttled_pause);
-                cluster_.process(node).send(SIGCONT);
+                cluster_.send(node, SIGCONT);
                 std::this_thread::sleep_for(throttled_run);
             }
         });
@@ -220,7 +249,7 @@
         return;
     log_fault("stop node (SIGTERM) " + std::to_string(node));
     const auto end = disturb(node);
-    cluster_.process(node).send(SIGTERM);
+    cluster_.send(node, SIGTERM);
     const time_point kill_at =
         clock_type::now() + std::chrono::seconds(shutdown_grace_s);
     schedule_end(
@@ -348,7 +377,7 @@
     cluster_.step_clock(node, by);
     if (restarts)
     {
-        cluster_.process(node).kill();
+        cluster_.kill(node);
         start(node);
     }
     end();
@@ -362,7 +391,7 @@
             if (random_() % 2 == 0)
             {
                 log_fault("restart node " + std::to_string(node));
-                cluster_.process(node).kill();
+                cluster_.kill(node);
                 start(node);
             }
             back();
@@ -405,7 +434,7 @@
         if (!disturbed_.insert(node).second)
             continue;
         const auto end = disturb(node);
-        cluster_.process(node).kill();
+        cluster_.kill(node);
         schedule_end(
             random_duration(100, 900),
             [this, node, end]
@@ -417,22 +446,28 @@
     }
 }
 
-void configuration_faults::kill_everything()
+void configuration_faults::kill_everything(
+    bool with_disk, milliseconds down_time)
 {
-    log_fault("kill all nodes, one control node with its disk");
     std::vector<unsigned> nodes = cluster_.control_nodes();
     const unsigned wiped = nodes[random_() % nodes.size()];
+    with_disk = with_disk && clock_type::now() >= next_disk_loss_at_;
+    log_fault(
+        "kill all nodes" +
+        (with_disk ? ", node " + std::to_string(wiped) + " with its disk"
+                   : std::string()));
     for (const unsigned entry : cluster_.entries())
         nodes.push_back(entry);
     std::vector<std::function<void()>> ends;
     for (const unsigned node : nodes)
     {
         ends.push_back(disturb(node));
-        cluster_.process(node).kill();
+        cluster_.kill(node);
     }
+    std::this_thread::sleep_for(down_time);
     for (const unsigned node : nodes)
     {
-        if (node == wiped)
+        if (with_disk && node == wiped)
             cluster_.restart_with_empty_disk(node);
         else
             cluster_.start(node);
--- a/tests/soak/configuration_faults.hpp
+++ b/tests/soak/configuration_faults.hpp
@@ -4,9 +4,11 @@
 
 #include "soak/contact_log.hpp"
 #include "soak/fault_schedule.hpp"
+#include "soak/processor_quota.hpp"
 #include "soak/test_cluster.hpp"
 
 #include <functional>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -25,11 +27,18 @@
         time_point started_at);
 
     void inject_random_fault();
+    /// Kills nodes, cuts their links, takes a disk or replaces a control node.
+    /// Never stops or continues a process, which `limit_control_nodes` does.
+    void inject_random_loss();
+    /// From now on the control nodes have this processor time in each period.
+    void limit_control_nodes(std::chrono::milliseconds quota);
     /// Kills the control node that leads; for the moment right after an
     /// acknowledgement.
     void kill_leader();
-    /// Kills all nodes, one of them with its disk, and starts them again.
-    void kill_everything();
+    /// Kills all nodes and starts them again after `down_time`. One control
+    /// node loses its disk if `with_disk`, unless the last such loss is recent.
+    void
+    kill_everything(bool with_disk, std::chrono::milliseconds down_time = {});
     void end_due_faults(time_point now);
     void end_all_faults();
 
@@ -74,6 +83,7 @@
     fault_schedule schedule_;
     time_point next_disk_loss_at_;
     time_point next_disk_fault_at_;
+    std::optional<processor_quota> quota_;
 };
 
 } // namespace soak
--- a/tests/soak/configuration_plan.cpp
+++ b/tests/soak/configuration_plan.cpp
@@ -144,6 +144,12 @@
         routes.push_back(make_route(prefix, "safe", service, 2));
         routes.back()["name"] = "r" + prefix;
     }
+    for (unsigned i = 0; i < spec.unprobed_routes; ++i)
+    {
+        const std::string prefix = "/unprobed-" + std::to_string(i) + "/";
+        routes.push_back(make_route(prefix, "safe", "desk", 2));
+        routes.back()["name"] = "r" + prefix;
+    }
     routes.push_back(make_route(slow_prefix, "safe", "desk", 1));
     routes.back()["name"] = "slow";
     routes.back()["timeoutMs"] = spec.slow_timeout_ms;
--- a/tests/soak/configuration_plan.hpp
+++ b/tests/soak/configuration_plan.hpp
@@ -50,6 +50,8 @@
     std::set<std::string> keys;
     /// Timeout of the route `slow_prefix`, whose upstreams answer later.
     int slow_timeout_ms = 700;
+    /// Routes that are never probed and make the configuration large.
+    unsigned unprobed_routes = 0;
     configuration_defect defect = configuration_defect::none;
 };
 
--- a/tests/soak/configuration_run.cpp
+++ b/tests/soak/configuration_run.cpp
@@ -393,21 +393,19 @@
     faults.end_all_faults();
 }
 
-} // namespace
-
-run_result run_configuration_soak(const run_options& options)
+/// Sends the first configuration and waits until the entries serve.
+void begin_run(configuration_fixture& fixture, run_result& result)
 {
-    configuration_fixture fixture(options);
-    run_result result;
-    std::mt19937 random(options.seed * 3 + 1);
     send_first(fixture);
     if (!wait_until(
             [&] { return fixture.cluster.all_entries_ready(); },
             std::chrono::seconds(15)))
         result.violations.emplace_back(
             "an entry is not ready 15 s after the start");
-    configuration_faults faults(
-        fixture.cluster, fixture.contacts, options.seed, fixture.started_at);
+}
+
+std::vector<std::thread> start_clients(configuration_fixture& fixture)
+{
     std::vector<std::thread> threads;
     for (unsigned i = 0; i < 2; ++i)
         threads.emplace_back([&fixture, i] { run_operator(fixture, i); });
@@ -416,19 +414,103 @@
         for (unsigned i = 0; i < probers_per_entry; ++i)
             threads.emplace_back([&fixture, entry, i]
                                  { run_prober(fixture, entry, i); });
-    run_bursts(fixture, faults, random);
-    sleep_ms(final_calm_ms);
+    return threads;
+}
+
+void stop_clients(
+    configuration_fixture& fixture, std::vector<std::thread>& clients)
+{
     fixture.stopping = true;
-    for (std::thread& each : threads)
+    for (std::thread& each : clients)
         each.join();
-    if (random() % 2 == 0)
-        faults.kill_everything();
-    read_finally(fixture);
+}
+
+void end_run(
+    configuration_fixture& fixture,
+    const configuration_faults& faults,
+    run_result& result)
+{
     for (const std::string& each : fixture.history.violations())
         result.violations.push_back(each);
     result.faults = faults.log;
-    result.faults.push_back(fixture.history.summary());
+    result.summary = fixture.history.summary();
     result.executions = fixture.executions;
+}
+
+/// Injects losses until `changes` were acknowledged, or the time is over.
+void run_losses(
+    configuration_fixture& fixture,
+    configuration_faults& faults,
+    std::mt19937& random,
+    std::size_t changes)
+{
+    constexpr double fault_times = 3;
+    const time_point deadline =
+        clock_type::now() +
+        milliseconds(static_cast<int>(
+            fixture.options.fault_seconds * 1000 * fault_times));
+    time_point next_loss_at =
+        clock_type::now() + draw_duration(random, 500, 6000);
+    while (fixture.history.acknowledged_changes() < changes &&
+           clock_type::now() < deadline)
+    {
+        sleep_ms(10);
+        faults.end_due_faults(clock_type::now());
+        if (clock_type::now() < next_loss_at)
+            continue;
+        faults.inject_random_loss();
+        next_loss_at = clock_type::now() + draw_duration(random, 200, 6000);
+    }
+    faults.end_all_faults();
+}
+
+} // namespace
+
+run_result run_configuration_soak(const run_options& options)
+{
+    configuration_fixture fixture(options);
+    run_result result;
+    std::mt19937 random(options.seed * 3 + 1);
+    begin_run(fixture, result);
+    configuration_faults faults(
+        fixture.cluster, fixture.contacts, options.seed, fixture.started_at);
+    std::vector<std::thread> clients = start_clients(fixture);
+    run_bursts(fixture, faults, random);
+    sleep_ms(final_calm_ms);
+    stop_clients(fixture, clients);
+    if (random() % 2 == 0)
+        faults.kill_everything(true);
+    read_finally(fixture);
+    end_run(fixture, faults, result);
+    return result;
+}
+
+run_result run_long_history_soak(const run_options& options)
+{
+    configuration_fixture fixture(options);
+    run_result result;
+    std::mt19937 random(options.seed * 5 + 2);
+    const auto quota = draw_duration(random, 15, 30);
+    const bool is_limited = random() % 3 == 0;
+    const std::size_t changes = 200 + random() % 250;
+    fixture.newest.unprobed_routes = 100 + random() % 700;
+    begin_run(fixture, result);
+    configuration_faults faults(
+        fixture.cluster, fixture.contacts, options.seed, fixture.started_at);
+    if (is_limited)
+        faults.limit_control_nodes(quota);
+    fixture.storm = true;
+    std::vector<std::thread> clients = start_clients(fixture);
+    run_losses(fixture, faults, random, changes);
+    if (!is_limited)
+        faults.limit_control_nodes(quota);
+    faults.kill_everything(random() % 2 == 0, draw_duration(random, 0, 2000));
+    fixture.stopping = true;
+    read_finally(fixture);
+    stop_clients(fixture, clients);
+    end_run(fixture, faults, result);
+    result.summary +=
+        ", of " + std::to_string(to_json(fixture.newest).size() / 1000) + " KB";
     return result;
 }
 
--- a/tests/soak/configuration_run.hpp
+++ b/tests/soak/configuration_run.hpp
@@ -10,4 +10,9 @@
 
 run_result run_configuration_soak(const run_options& options);
 
+/// Operators send hundreds of large configurations in quick succession, until
+/// all processes are killed at once and started again. Control nodes have a
+/// share of a processor from then on, or from the start of the run.
+run_result run_long_history_soak(const run_options& options);
+
 } // namespace soak
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -26,6 +26,8 @@
     std::vector<std::string> faults;
     /// Number of requests that upstreams executed.
     std::size_t executions = 0;
+    /// One line of counts.
+    std::string summary;
 };
 
 run_result run_soak(const run_options& options);
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -31,6 +31,10 @@
 /// 33: a read returned an older version after a disk had been full.
 const std::vector<unsigned> configuration_seeds{1, 33};
 
+/// 4: after a power loss each leader replayed the whole history in one step and
+/// lost its term.
+const std::vector<unsigned> long_history_seeds{4};
+
 std::vector<unsigned> selected_seeds(const std::vector<unsigned>& preset)
 {
     const char* value = std::getenv("BERGAMOTUSHER_SOAK_SEEDS");
@@ -75,6 +79,7 @@
             const soak::run_result result = run(options);
             for (const std::string& fault : result.faults)
                 UNSCOPED_INFO("fault: " << fault);
+            UNSCOPED_INFO(result.summary);
             UNSCOPED_INFO("logs: " << options.folder);
             for (const std::string& violation : result.violations)
                 UNSCOPED_INFO("violation: " << violation);
@@ -82,7 +87,9 @@
             CHECK(result.executions > 100);
             std::cout << name << " seed " << seed << ": " << result.executions
                       << " executions, " << result.faults.size() << " faults, "
-                      << result.violations.size() << " violations\n";
+                      << result.violations.size() << " violations"
+                      << (result.summary.empty() ? "" : "; ") << result.summary
+                      << std::endl;
             if (result.violations.empty() &&
                 std::getenv("BERGAMOTUSHER_KEEP_LOGS") == nullptr)
                 std::filesystem::remove_all(options.folder);
@@ -104,3 +111,11 @@
         "configuration",
         soak::run_configuration_soak);
 }
+
+TEST_CASE("a long history of large configurations survives a loss of power")
+{
+    run_seeds(
+        selected_seeds(long_history_seeds),
+        "long-history",
+        soak::run_long_history_soak);
+}
