--- a/src/consensus/leader.cpp
+++ b/src/consensus/leader.cpp
@@ -255,7 +255,6 @@
         term_at(replica.log, index) != replica.hard.term)
         return;
     replica.commit = index;
-    apply_committed(replica, out);
     notify_idle_followers(replica, out, now);
     if (members_committed(replica) &&
         !is_voter(members_of(replica), replica.options.self))
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -49,15 +49,27 @@
 struct limits
 {
     std::size_t append_bytes = std::size_t{256} * 1024;
-    std::size_t chunk_bytes = std::size_t{64} * 1024;
+    std::size_t chunk_bytes = std::size_t{256} * 1024;
     /// Most append requests with entries in flight to one follower.
     std::size_t in_flight = 8;
     /// Proposals that would exceed this number of uncommitted entries are
     /// refused.
     std::size_t uncommitted = 4096;
+    /// Proposals that would exceed this number of bytes of entries that are not
+    /// applied here are refused, unless all are applied.
+    std::size_t unapplied_bytes = std::size_t{8} * 1024 * 1024;
     /// Entries kept below a snapshot, so that followers slightly behind need no
-    /// snapshot.
+    /// snapshot; of large entries fewer, as many as fit `kept_bytes`.
     std::size_t kept_entries = 256;
+    std::size_t kept_bytes = std::size_t{1024} * 1024;
+    /// Bytes kept at most of what a live follower lacks, or will lack once it
+    /// has the snapshot that it is being sent: while large entries come
+    /// quickly, it would need one snapshot after the other.
+    std::size_t kept_bytes_for_followers = std::size_t{8} * 1024 * 1024;
+    /// Entries and bytes that one step applies, at least one entry: between
+    /// steps the replica answers messages and sends heartbeats.
+    std::size_t apply_entries = 16;
+    std::size_t apply_bytes = std::size_t{256} * 1024;
     /// A learner at most this many entries behind the commit index is caught up
     /// and can be promoted.
     std::size_t caught_up_lag = 64;
@@ -221,6 +233,12 @@
 {
 };
 
+/// Each step applies a part of the entries that are committed and synced; this
+/// one does nothing else. Given as long as `has_unapplied` holds.
+struct apply_more
+{
+};
+
 struct received
 {
     node_id from;
@@ -277,6 +295,7 @@
 
 using input = std::variant<
     tick,
+    apply_more,
     received,
     propose,
     change_members,
@@ -392,6 +411,12 @@
 /// not decrease.
 actions step(replica& replica, const input& input, time_point now);
 
+/// True if the last step left committed entries for the next one.
+bool has_unapplied(const replica& replica);
+
+/// Bytes of the entries that are not applied.
+std::size_t unapplied_bytes(const replica& replica);
+
 /// The time at which the next `tick` is due.
 time_point next_tick(const replica& replica);
 
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace bergamotusher
 {
@@ -20,6 +21,9 @@
 constexpr std::size_t storage_queue_capacity = 4096;
 /// Interval of checks for expired proposals.
 constexpr duration expiry_check_interval = 20ms;
+/// Processor time for applying entries in one step, beyond which fewer are
+/// applied in the next one.
+constexpr duration max_apply_time = 10ms;
 
 void send_unsent_writes(control_duty& duty)
 {
@@ -48,6 +52,8 @@
 {
     std::string result;
     note_step_work("applied entries");
+    ++duty.since_snapshot.entries;
+    duty.since_snapshot.bytes += consensus::size_of(entry);
     if (entry.kind == consensus::entry_kind::command)
         result = duty.machine.apply(entry.index, entry.command);
     else if (entry.kind == consensus::entry_kind::members)
@@ -60,7 +66,8 @@
     static const std::string empty_state;
     note_step_work("restored a snapshot");
     duty.machine.restore(value.index, value.data ? *value.data : empty_state);
-    duty.last_snapshot_index = value.index;
+    duty.since_snapshot = {
+        0, 0, value.data ? value.data->size() : std::size_t{0}};
     answer_replaced_by_snapshot(duty, value.index);
     const std::lock_guard lock(duty.status_mutex);
     ++duty.status.snapshots_installed;
@@ -128,22 +135,51 @@
 
 void take_snapshot_if_due(control_duty& duty)
 {
-    const std::uint64_t applied = duty.core.applied;
-    if (applied <
-            duty.last_snapshot_index + duty.options.entries_per_snapshot ||
+    if (!consensus::is_snapshot_due(
+            duty.options.snapshots, duty.since_snapshot) ||
         duty.core.pending_snapshot || duty.core.installing_snapshot ||
         duty.core.role == role::halted)
         return;
-    duty.last_snapshot_index = applied;
+    note_step_work("took a snapshot");
+    auto state = std::make_shared<const std::string>(duty.machine.snapshot());
+    duty.since_snapshot = {0, 0, state->size()};
     {
         const std::lock_guard lock(duty.status_mutex);
         ++duty.status.snapshots_taken;
     }
     step_core(
-        duty,
-        consensus::snapshot_taken{
-            applied,
-            std::make_shared<const std::string>(duty.machine.snapshot())});
+        duty, consensus::snapshot_taken{duty.core.applied, std::move(state)});
+}
+
+/// Bounds the next step's entries by what those of this one have cost, which
+/// their number and size do not tell. The number at most doubles: entries that
+/// cost nothing may stand before others.
+void adapt_apply_entries(
+    control_duty& duty, std::uint64_t applied, duration processor_time)
+{
+    const duration entry_time =
+        processor_time / static_cast<std::int64_t>(applied);
+    const auto affordable = static_cast<std::size_t>(
+        max_apply_time / std::max(entry_time, duration(1)));
+    std::size_t& limit = duty.core.options.limits.apply_entries;
+    limit = std::clamp<std::size_t>(
+        std::min(affordable, 2 * limit), 1, duty.options.limits.apply_entries);
+}
+
+/// Applies the committed entries that the last step left, behind the messages
+/// and timers that are due by now.
+void schedule_apply(control_duty& duty)
+{
+    if (std::exchange(duty.apply_scheduled, true))
+        return;
+    boost::asio::post(
+        duty.loop,
+        [&duty]
+        {
+            const measured_step step(duty.steps, "applied entries");
+            duty.apply_scheduled = false;
+            step_core(duty, consensus::apply_more{});
+        });
 }
 
 /// Rearms the timer if it would fire later than the next check for expired
@@ -230,12 +266,14 @@
           loop,
           peers_queue_capacity,
           [this](incoming_message&& message)
-          { handle_peer_message(*this, std::move(message)); })
+          { handle_peer_message(*this, std::move(message)); },
+          1)
     , from_storage(
           loop,
           storage_queue_capacity,
           [this](storage_report&& report)
-          { handle_storage_report(*this, std::move(report)); })
+          { handle_storage_report(*this, std::move(report)); },
+          1)
     , next_ticket(random_number())
     , next_confirmation(random_number())
 {
@@ -299,12 +337,21 @@
 {
     const time_point now = steady_now();
     const time_point previous_tick = consensus::next_tick(duty.core);
+    const duration processor_time_before = thread_processor_time();
+    const std::uint64_t entries_before = duty.since_snapshot.entries;
     for (consensus::action& action : step(duty.core, input, now))
         perform_action(duty, std::move(action));
+    if (duty.since_snapshot.entries > entries_before)
+        adapt_apply_entries(
+            duty,
+            duty.since_snapshot.entries - entries_before,
+            thread_processor_time() - processor_time_before);
     update_order_permission(duty, now);
     publish_status(duty);
     complete_confirmation(duty);
     take_snapshot_if_due(duty);
+    if (consensus::has_unapplied(duty.core))
+        schedule_apply(duty);
     if (!duty.pending.empty())
         schedule_flush(duty);
     if (consensus::next_tick(duty.core) < previous_tick)
--- a/src/daemon/control_start.cpp
+++ b/src/daemon/control_start.cpp
@@ -82,8 +82,9 @@
     duty.loop.restart();
     duty.unsent_writes.clear();
     duty.accepted_remote.clear();
-    duty.current_confirmation.reset();
+    duty.confirmations.clear();
     duty.orders_allowed = false;
+    duty.apply_scheduled = false;
     const std::lock_guard lock(duty.status_mutex);
     duty.status.role = role::follower;
     duty.status.failed.reset();
@@ -93,11 +94,14 @@
 {
     const consensus::snapshot& base = opened.state.base;
     duty.machine.restore(base.index, base.data ? *base.data : std::string());
-    duty.last_snapshot_index = base.index;
+    duty.since_snapshot = {
+        0, 0, base.data ? base.data->size() : std::size_t{0}};
     duty.core = consensus::make_replica(
         replica_options_of(duty.options, opened.storage.storage_id),
         std::move(opened.state),
         steady_now());
+    // Grows once it is known what entries cost.
+    duty.core.options.limits.apply_entries = 1;
     {
         const std::lock_guard lock(duty.status_mutex);
         duty.status.term = duty.core.hard.term;
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <utility>
 
 namespace bergamotusher::site
 {
@@ -24,9 +25,6 @@
 constexpr duration tick_interval = 100ms;
 /// Interval of the housekeeping of what upstreams and entries told.
 constexpr duration refresh_interval = 1s;
-/// An entry is counted for sharing rate limits for this long after its last
-/// report.
-constexpr duration limit_share_timeout = 10s;
 constexpr std::size_t peer_mailbox_capacity = 4096;
 constexpr std::size_t control_mailbox_capacity = 1024;
 /// Announcements that an upstream may miss before it is reported as silent.
@@ -51,7 +49,17 @@
     , log_(log)
     , store_(
           parse,
-          [this] { boost::asio::post(loop_, [this] { on_state_changed(); }); })
+          [this]
+          {
+              if (!state_change_posted_.exchange(true))
+                  boost::asio::post(
+                      loop_,
+                      [this]
+                      {
+                          state_change_posted_ = false;
+                          on_state_changed();
+                      });
+          })
     , flush_timer_(loop)
     , started_at_(uptime())
 {
@@ -161,32 +169,31 @@
 void control_service::on_state_changed()
 {
     const measured_step step(steps_, "read the replicated state");
-    const std::uint64_t version_before = site_.version;
-    const auto moves_before = site_.moves;
-    const departure_map departures_before = std::move(site_.departures);
-    confirmed_site newest = store_.read();
-    site_ = std::move(newest.state);
+    const confirmed_site newest = store_.read();
     site_confirmed_at_ = newest.confirmed_at;
+    const auto before = std::exchange(site_, newest.state);
+    if (site_ == before)
+        return;
     const time_point now = uptime();
-    if (site_.departures != departures_before)
+    if (site_->departures != before->departures)
         apply_departures(now);
-    if (site_.version != version_before)
+    if (site_->version != before->version)
     {
         limit_totals_.clear();
-        if (site_.current)
-            for (const account& each : site_.current->value.accounts)
+        if (site_->current)
+            for (const account& each : site_->current->value.accounts)
                 if (each.rate > 0)
                     limit_totals_[each.name] = admission::window_total(
                         options_.limits.bound, each.rate, each.burst);
         log_.write(
             log_line(decision::site_changed)
-                .with("version", site_.version)
-                .with("before", version_before)
-                .with("applied", site_.applied),
+                .with("version", site_->version)
+                .with("before", before->version)
+                .with("applied", site_->applied),
             now);
     }
-    if (site_.moves != moves_before)
-        for (const auto& [service, move] : site_.moves)
+    if (site_->moves != before->moves)
+        for (const auto& [service, move] : site_->moves)
             log_.write(
                 log_line(decision::move_changed)
                     .with("service", service.value)
@@ -196,13 +203,54 @@
                     .with("share", move.share)
                     .with("reason", move.reason),
                 now);
-    if (site_.version == version_before && site_.moves == moves_before)
+    if (site_->version == before->version && site_->moves == before->moves)
         return;
     // The leader tells entries at once; other nodes tell them in reply to their
     // next report.
     if (status_of(*control_).role == consensus::role::leader)
-        for (const auto& [id, entry] : entries_)
-            send_report(id, 0, false);
+        tell_entries();
+}
+
+void control_service::tell_entries()
+{
+    last_told_entry_ = {};
+    if (!std::exchange(is_telling_entries_, true))
+        tell_next_entries();
+}
+
+void control_service::tell_next_entries()
+{
+    const measured_step step(steps_, "sent reports to entries");
+    constexpr int entries_per_step = 16;
+    auto next = entries_.upper_bound(last_told_entry_);
+    for (int i = 0; i < entries_per_step && next != entries_.end(); ++i, ++next)
+    {
+        last_told_entry_ = next->first;
+        send_report(next->first, 0, false);
+    }
+    is_telling_entries_ = next != entries_.end();
+    if (is_telling_entries_)
+        boost::asio::post(loop_, [this] { tell_next_entries(); });
+}
+
+void control_service::send_missing_sites(time_point now)
+{
+    std::vector<node_id> due;
+    for (const auto& [id, entry] : entries_)
+    {
+        entry_sync_state sync = entry.sync;
+        if (now - entry.heard_at < options_.entry_timeout &&
+            should_send_site(
+                options_.entry_sync,
+                site_->version,
+                entry.site_version,
+                0,
+                sync,
+                now))
+            due.push_back(id);
+    }
+    for (const node_id& id : due)
+        send_report(id, 0, false);
 }
 
 void control_service::propose_change(std::string command, change_callback done)
@@ -274,22 +322,20 @@
         std::move(done));
 }
 
-std::optional<site_state> control_service::read() const
+std::shared_ptr<const site_state> control_service::read() const
 {
     const time_point now = uptime();
-    confirmed_site newest = store_.read();
+    const confirmed_site newest = store_.read();
     const auto age = age_of(newest.confirmed_at, now);
     const bool is_confirmed = age && *age <= options_.max_read_age;
     log_.write(
         log_line(decision::site_read)
-            .with("version", newest.state.version)
-            .with("applied", newest.state.applied)
+            .with("version", newest.state->version)
+            .with("applied", newest.state->applied)
             .with("confirmed_age_ms", age.value_or(duration(-1)))
             .with("outcome", is_confirmed ? "answered" : "unconfirmed"),
         now);
-    if (!is_confirmed)
-        return std::nullopt;
-    return std::move(newest.state);
+    return is_confirmed ? newest.state : nullptr;
 }
 
 void control_service::on_entry_report(const incoming_message& message)
@@ -307,6 +353,7 @@
     entry.incarnation = message.incarnation;
     record_run(entry.run, report.run_id(), message.incarnation);
     entry.site_version = report.site_version();
+    entry.limit_digest = report.limit_digest();
     entry.ready = report.ready();
     entry.heard_at = now;
     entry.asked_at_us = report.asked_at_us();
@@ -359,10 +406,12 @@
             demand.requests =
                 static_cast<double>(each.running() + each.waiting());
             demand.prompt_tokens = each.prompt_rate();
+            demand.request_rate = each.request_rate();
             demand.speed = site::read(each.prefill_speed());
         }
     }
     read_crashes(report, now);
+    read_limits(report, now);
     send_report(message.from, report.asked_at_us(), report.uptime_us() > 0);
     send_directory_update(message.from, report.directory_digest(), now);
 }
@@ -379,27 +428,23 @@
     report.set_time_of_day_ms(time_of_day().milliseconds);
     const auto age = age_of(site_confirmed_at_, now);
     report.set_confirmed_age_us(age && asked_at_us != 0 ? age->count() : -1);
-    report.set_site_version(site_.version);
-    if (site_.content && should_send_site(
-                             options_.entry_sync,
-                             site_.version,
-                             entry.site_version,
-                             rank_for(to),
-                             entry.sync,
-                             now))
-        report.set_site(*site_.content);
+    report.set_site_version(site_->version);
+    if (site_->content && should_send_site(
+                              options_.entry_sync,
+                              site_->version,
+                              entry.site_version,
+                              rank_for(to),
+                              entry.sync,
+                              now))
+        report.set_site(*site_->content);
     report.set_directory_digest(directory_.digest);
     report.set_leader(status.leader.value);
     for (const node_id& node : control_nodes())
         report.add_members(node.value);
     report.add_members(options_.self.value);
-    for (const auto& [service, move] : site_.moves)
+    for (const auto& [service, move] : site_->moves)
         write(*report.add_moves(), move);
-    std::uint32_t entries = 0;
-    for (const auto& [id, each] : entries_)
-        if (now - each.heard_at < limit_share_timeout)
-            ++entries;
-    report.set_entries(entries);
+    write_seat(report, to, now);
     report.set_is_leader(is_leader_);
     if (is_leader_ && answers_use)
         for (const auto& [account, granted] : admission::grant(
@@ -407,7 +452,7 @@
                  options_.limits,
                  to,
                  limit_totals_,
-                 entries,
+                 report.entries(),
                  now))
         {
             pb::account_amount& amount = *report.add_allowances();
@@ -425,6 +470,7 @@
         for (const upstream_id& id : silent_upstreams_)
             report.add_silent_upstreams(id.value);
     write_crashes(report, now);
+    write_limits(report, entry);
     send(to, wire::control_report, report.SerializeAsString());
 }
 
@@ -447,14 +493,22 @@
     update_leadership();
     merge_held_announcements(now);
     announce_confirmation(now);
+    if (is_leader_)
+        send_missing_sites(now);
     if (is_leader_)
         silent_upstreams_ = find_silent(
             directory_,
             options_.announcement_interval * max_missed_announcements,
             now);
+    // The leader tells entries; the other nodes answer their reports.
+    if (std::exchange(upstream_limits_changed_, false) && is_leader_)
+        for (const auto& [id, entry] : entries_)
+            if (entry.limit_digest != upstream_limits_.digest)
+                send_report(id, 0, false);
     if (now - refreshes_sent_at_ >= refresh_interval)
     {
         refreshes_sent_at_ = now;
+        drop_obsolete_limits(now);
         share_refreshes(now);
         remove_expired(directory_, options_.retention, now);
         drop_expired_uses(limit_usage_, options_.limits, now);
@@ -548,7 +602,10 @@
         "Rounds of queries for a confirmation without a result.",
         status.abandoned_confirmations);
     line(
-        "site_version", "gauge", "Version of the site applied.", site_.version);
+        "site_version",
+        "gauge",
+        "Version of the site applied.",
+        site_->version);
     line("upstreams", "gauge", "Upstreams known.", directory_.upstreams.size());
     line(
         "upstreams_ready",
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -19,12 +19,14 @@
 #include "site/move_policy.hpp"
 #include "site/rent_policy.hpp"
 #include "site/site_store.hpp"
+#include "site/stated_limits.hpp"
 #include "site/upstream_directory.hpp"
 #include "site/usage_ledger.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -102,6 +104,12 @@
     duration announcement_interval = 1200ms;
     /// Upstreams and entries without a message for this long are removed.
     duration retention = 30s;
+    /// A node that has run for this long has heard of every entry, and so may
+    /// tell each its place among them.
+    duration entry_warm_up = 3s;
+    /// How long it is remembered that an upstream named a limit that it no
+    /// longer names.
+    duration withdrawn_limit_retention = 30s;
     /// Maximum age of the state returned to a reader.
     duration max_read_age = 1200ms;
     /// Time limit for committing an operator's change; operators wait for 1 s.
@@ -131,6 +139,8 @@
     std::uint64_t incarnation = 0;
     entry_run run;
     std::uint64_t site_version = 0;
+    /// Of the limits of upstreams that it knows.
+    std::uint64_t limit_digest = 0;
     bool ready = false;
     time_point heard_at;
     /// When it sent its last report, by its own clock.
@@ -173,9 +183,9 @@
         const version_name& target,
         std::int64_t duration_ms,
         change_callback done);
-    /// The newest state; nothing if this node cannot confirm that it is the
+    /// The newest state; null if this node cannot confirm that it is the
     /// newest.
-    std::optional<site_state> read() const;
+    std::shared_ptr<const site_state> read() const;
 
     // Upstreams.
     /// A departure, draining or gone, is accepted once the site's state holds
@@ -227,6 +237,16 @@
         const upstream_id& id, const departure& value, acknowledgement done);
     /// Applies the recorded departures to the directory.
     void apply_departures(time_point now);
+    void read_limits(const wire::site::entry_report& report, time_point now);
+    void write_limits(
+        wire::site::control_report& report, const known_entry& entry) const;
+    /// Writes the place of `entry` among the entries that share limits, and
+    /// their number.
+    void write_seat(
+        wire::site::control_report& report,
+        const node_id& entry,
+        time_point now) const;
+    void drop_obsolete_limits(time_point now);
     void read_crashes(const wire::site::entry_report& report, time_point now);
     void
     write_crashes(wire::site::control_report& report, time_point now) const;
@@ -245,6 +265,12 @@
     /// limits, in answer to a report that told the entry's use.
     void
     send_report(const node_id& to, std::int64_t asked_at_us, bool answers_use);
+    /// Sends every entry a report, some of them in each step of the loop: a
+    /// report can hold a large site.
+    void tell_entries();
+    void tell_next_entries();
+    /// Sends the site to live entries that lack it, as far as due.
+    void send_missing_sites(time_point now);
     void update_leadership();
     /// Tells all entries when this node's state becomes confirmed: after an
     /// outage they serve again as soon as they know of it.
@@ -263,7 +289,11 @@
     control_service_options options_;
     observe::decision_log& log_;
     site_store store_;
-    site_state site_;
+    /// Set by the control thread: one look at the state covers all changes
+    /// until then.
+    std::atomic<bool> state_change_posted_{false};
+    std::shared_ptr<const site_state> site_ =
+        std::make_shared<const site_state>();
     /// The latest moment at which `site_` was the newest state; nothing if its
     /// replica was opened since.
     std::optional<time_point> site_confirmed_at_;
@@ -299,6 +329,9 @@
     time_point full_directory_at_;
     /// When the full directory was last sent to each control node.
     std::map<node_id, time_point> directory_shared_at_;
+    /// The entry to which `tell_next_entries` sent last.
+    node_id last_told_entry_;
+    bool is_telling_entries_ = false;
     bool was_confirmed_ = false;
     std::map<node_id, known_entry> entries_;
     time_point refreshes_sent_at_;
@@ -319,6 +352,10 @@
     admission::crash_options crash_options_;
     /// Evidence of all entries; kept by every node.
     admission::crash_ledger crashes_;
+    /// The limits that upstreams name; kept by every node.
+    limit_board upstream_limits_;
+    /// Entries are told of `upstream_limits_` with the next tick.
+    bool upstream_limits_changed_ = false;
     admission::use_ledger limit_usage_;
     /// The limits of the accounts in the site in force.
     admission::account_amounts limit_totals_;
--- a/tests/soak/configuration_run.cpp
+++ b/tests/soak/configuration_run.cpp
@@ -29,7 +29,7 @@
 constexpr int max_calm_ms = 8500;
 /// Time without faults at the end, in which steady state is judged.
 constexpr int final_calm_ms = 12000;
-constexpr auto final_read_time = milliseconds(10000);
+constexpr auto read_timeout = milliseconds(1500);
 
 struct configuration_fixture
 {
@@ -282,14 +282,20 @@
     }
 }
 
-std::optional<std::string>
-read_configuration(configuration_fixture& fixture, unsigned node)
+std::optional<std::string> read_configuration(
+    configuration_fixture& fixture,
+    unsigned node,
+    std::chrono::duration<double> timeout = read_timeout)
 {
     read_record read;
     read.node = node;
     read.sent_at = clock_type::now();
     const reply answer = send_once(
-        fixture.cluster.control_address(node), "GET", "/Config.Get", "", 1.5);
+        fixture.cluster.control_address(node),
+        "GET",
+        "/Config.Get",
+        "",
+        timeout.count());
     if (answer.status != 200 || !answer.complete)
         return std::nullopt;
     read.answered_at = clock_type::now();
@@ -309,26 +315,41 @@
     }
 }
 
-/// Reads the configuration from every control node; each has to return the
-/// newest one before the time is over.
-void read_finally(configuration_fixture& fixture)
+/// Reads the configuration from a control node until a read that was sent
+/// `config_apply_time` after the start is answered; false if that takes longer
+/// than `recovery_time`.
+bool read_until_recovered(configuration_fixture& fixture, unsigned node)
 {
-    std::this_thread::sleep_for(config_apply_time);
-    for (const unsigned node : fixture.cluster.control_nodes())
+    const time_point started_at = clock_type::now();
+    const time_point deadline = started_at + recovery_time;
+    while (true)
     {
-        const time_point deadline = clock_type::now() + final_read_time;
-        while (!read_configuration(fixture, node))
-        {
-            if (clock_type::now() > deadline)
-            {
-                fixture.history.record_final_read_missing(node);
-                break;
-            }
-            sleep_ms(100);
-        }
+        const time_point sent_at = clock_type::now();
+        if (sent_at >= deadline)
+            return false;
+        const std::chrono::duration<double> timeout =
+            std::min<clock_type::duration>(read_timeout, deadline - sent_at);
+        if (read_configuration(fixture, node, timeout) &&
+            sent_at > started_at + config_apply_time)
+            return true;
+        sleep_ms(100);
     }
 }
 
+/// Reads the configuration from every control node at the same time; each has
+/// to return the newest one before `recovery_time` is over.
+void read_finally(configuration_fixture& fixture)
+{
+    std::map<unsigned, std::future<bool>> reads;
+    for (const unsigned node : fixture.cluster.control_nodes())
+        reads[node] = std::async(
+            std::launch::async,
+            [&fixture, node] { return read_until_recovered(fixture, node); });
+    for (auto& [node, recovered] : reads)
+        if (!recovered.get())
+            fixture.history.record_final_read_missing(node);
+}
+
 /// Sends the first configuration until it is acknowledged.
 void send_first(configuration_fixture& fixture)
 {
@@ -372,21 +393,19 @@
     faults.end_all_faults();
 }
 
-} // namespace
-
-run_result run_configuration_soak(const run_options& options)
+/// Sends the first configuration and waits until the entries serve.
+void begin_run(configuration_fixture& fixture, run_result& result)
 {
-    configuration_fixture fixture(options);
-    run_result result;
-    std::mt19937 random(options.seed * 3 + 1);
     send_first(fixture);
     if (!wait_until(
             [&] { return fixture.cluster.all_entries_ready(); },
             std::chrono::seconds(15)))
         result.violations.emplace_back(
             "an entry is not ready 15 s after the start");
-    configuration_faults faults(
-        fixture.cluster, fixture.contacts, options.seed, fixture.started_at);
+}
+
+std::vector<std::thread> start_clients(configuration_fixture& fixture)
+{
     std::vector<std::thread> threads;
     for (unsigned i = 0; i < 2; ++i)
         threads.emplace_back([&fixture, i] { run_operator(fixture, i); });
@@ -395,19 +414,103 @@
         for (unsigned i = 0; i < probers_per_entry; ++i)
             threads.emplace_back([&fixture, entry, i]
                                  { run_prober(fixture, entry, i); });
-    run_bursts(fixture, faults, random);
-    sleep_ms(final_calm_ms);
+    return threads;
+}
+
+void stop_clients(
+    configuration_fixture& fixture, std::vector<std::thread>& clients)
+{
     fixture.stopping = true;
-    for (std::thread& each : threads)
+    for (std::thread& each : clients)
         each.join();
-    if (random() % 2 == 0)
-        faults.kill_everything();
-    read_finally(fixture);
+}
+
+void end_run(
+    configuration_fixture& fixture,
+    const configuration_faults& faults,
+    run_result& result)
+{
     for (const std::string& each : fixture.history.violations())
         result.violations.push_back(each);
     result.faults = faults.log;
-    result.faults.push_back(fixture.history.summary());
+    result.summary = fixture.history.summary();
     result.executions = fixture.executions;
+}
+
+/// Injects losses until `changes` were acknowledged, or the time is over.
+void run_losses(
+    configuration_fixture& fixture,
+    configuration_faults& faults,
+    std::mt19937& random,
+    std::size_t changes)
+{
+    constexpr double fault_times = 3;
+    const time_point deadline =
+        clock_type::now() +
+        milliseconds(static_cast<int>(
+            fixture.options.fault_seconds * 1000 * fault_times));
+    time_point next_loss_at =
+        clock_type::now() + draw_duration(random, 500, 6000);
+    while (fixture.history.acknowledged_changes() < changes &&
+           clock_type::now() < deadline)
+    {
+        sleep_ms(10);
+        faults.end_due_faults(clock_type::now());
+        if (clock_type::now() < next_loss_at)
+            continue;
+        faults.inject_random_loss();
+        next_loss_at = clock_type::now() + draw_duration(random, 200, 6000);
+    }
+    faults.end_all_faults();
+}
+
+} // namespace
+
+run_result run_configuration_soak(const run_options& options)
+{
+    configuration_fixture fixture(options);
+    run_result result;
+    std::mt19937 random(options.seed * 3 + 1);
+    begin_run(fixture, result);
+    configuration_faults faults(
+        fixture.cluster, fixture.contacts, options.seed, fixture.started_at);
+    std::vector<std::thread> clients = start_clients(fixture);
+    run_bursts(fixture, faults, random);
+    sleep_ms(final_calm_ms);
+    stop_clients(fixture, clients);
+    if (random() % 2 == 0)
+        faults.kill_everything(true);
+    read_finally(fixture);
+    end_run(fixture, faults, result);
+    return result;
+}
+
+run_result run_long_history_soak(const run_options& options)
+{
+    configuration_fixture fixture(options);
+    run_result result;
+    std::mt19937 random(options.seed * 5 + 2);
+    const auto quota = draw_duration(random, 15, 30);
+    const bool is_limited = random() % 3 == 0;
+    const std::size_t changes = 200 + random() % 250;
+    fixture.newest.unprobed_routes = 100 + random() % 700;
+    begin_run(fixture, result);
+    configuration_faults faults(
+        fixture.cluster, fixture.contacts, options.seed, fixture.started_at);
+    if (is_limited)
+        faults.limit_control_nodes(quota);
+    fixture.storm = true;
+    std::vector<std::thread> clients = start_clients(fixture);
+    run_losses(fixture, faults, random, changes);
+    if (!is_limited)
+        faults.limit_control_nodes(quota);
+    faults.kill_everything(random() % 2 == 0, draw_duration(random, 0, 2000));
+    fixture.stopping = true;
+    read_finally(fixture);
+    stop_clients(fixture, clients);
+    end_run(fixture, faults, result);
+    result.summary +=
+        ", of " + std::to_string(to_json(fixture.newest).size() / 1000) + " KB";
     return result;
 }
 
