LIMIT: what the review of the shared limits found

From the code, by one who had not seen the work; each with a test unless it says so. - A limit of 1e10 a second counted as 0 and held every request (overflow): rates are clamped. - Requests waited for parts of limits of upstreams that were tried, silent or unreachable, and those behind a limited one were judged by its limits: the same filters as in placing; waiting requests are dispatched anew. The whole wait is bounded, newcomers do not overtake, and only those ahead count. - A part that found no caller in its second was lost: it may be used later, as far as the bound on the sum leaves room (3 requests beside a slot's). The model plays pauses, changed rates and clocks apart. - Limits of upstreams that are gone came back between nodes whose directories differ; a control node that is away made all reports carry all limits. - Renting looked at what was sent, which limits shrink: what is refused for them counts. - An upstream without a limit that only seems silent is tried before callers are refused. - Seats: told with the fence of the lease, and 3 s after a pause; an entry has one for 3 s after its last report. No test over processes. - A clock far ahead outdated all later statements: clamped by receivers; what is read here is newer than what is known here. No test. - Only a signed answer of a request that ran withdraws a limit. Refusals for limits are in the metrics.

--- a/src/admission/slot_share.cpp
+++ b/src/admission/slot_share.cpp
@@ -11,7 +11,7 @@
 
 double rate_per_slot(const slot_options& options, const shared_rate& rate)
 {
-    return std::max(rate.requests_per_s, options.min_rate) *
+    return std::clamp(rate.requests_per_s, options.min_rate, options.max_rate) *
            to_seconds(options.length);
 }
 
@@ -22,8 +22,7 @@
         std::floor(static_cast<double>(slot) * per_slot));
 }
 
-/// Number of the entry's next request, from request `first` on; all requests of
-/// the rate are numbered through.
+/// Number of the entry's next request, from request `first` on.
 std::int64_t next_own_request(
     const shared_rate& rate, const entry_seat& seat, std::int64_t first)
 {
@@ -32,6 +31,47 @@
     return first + (seat.rank + seat.count - turn) % seat.count;
 }
 
+/// Number of own requests from the own request `first` to before `end`.
+std::uint32_t
+own_requests(const entry_seat& seat, std::int64_t first, std::int64_t end)
+{
+    return first >= end
+               ? 0
+               : static_cast<std::uint32_t>(1 + (end - 1 - first) / seat.count);
+}
+
+/// The requests that may be sent in a slot: those of the slot and of some slots
+/// before it, less what was used.
+struct open_requests
+{
+    /// An own request.
+    std::int64_t first = 0;
+    std::int64_t end = 0;
+};
+
+open_requests requests_at(
+    const slot_options& options,
+    const shared_rate& rate,
+    const entry_seat& seat,
+    const slot_use& use,
+    std::int64_t slot)
+{
+    const double per_slot = rate_per_slot(options, rate);
+    const auto later_slots = static_cast<std::int64_t>(std::min(
+        1 + options.spare_requests / per_slot, options.max_later_slots));
+    const std::int64_t end = requests_before(per_slot, slot + 1);
+    std::int64_t first = requests_before(per_slot, slot - later_slots);
+    if (use.requests_per_s != rate.requests_per_s)
+        // Requests were numbered otherwise: begins with this slot.
+        first = requests_before(per_slot, slot);
+    else if (use.next_request > requests_before(per_slot, slot + later_slots))
+        // The clock was far ahead.
+        first = end;
+    else
+        first = std::max(first, use.next_request);
+    return {next_own_request(rate, seat, first), end};
+}
+
 } // namespace
 
 std::int64_t slot_at(const slot_options& options, duration true_time)
@@ -48,12 +88,10 @@
     if (seat.count == 0)
         return 0;
     const double per_slot = rate_per_slot(options, rate);
-    const std::int64_t end = requests_before(per_slot, slot + 1);
-    const std::int64_t own =
-        next_own_request(rate, seat, requests_before(per_slot, slot));
-    return own >= end
-               ? 0
-               : static_cast<std::uint32_t>(1 + (end - 1 - own) / seat.count);
+    return own_requests(
+        seat,
+        next_own_request(rate, seat, requests_before(per_slot, slot)),
+        requests_before(per_slot, slot + 1));
 }
 
 std::uint32_t requests_left(
@@ -63,21 +101,25 @@
     const slot_use& use,
     duration true_time)
 {
-    const std::int64_t slot = slot_at(options, true_time);
-    // A clock that was set back does not bring a used slot back.
-    if (slot < use.slot)
+    if (seat.count == 0)
         return 0;
-    const std::uint32_t all = requests_in_slot(options, rate, seat, slot);
-    const std::uint32_t used = use.slot == slot ? use.requests : 0;
-    return all - std::min(used, all);
+    const open_requests open =
+        requests_at(options, rate, seat, use, slot_at(options, true_time));
+    return own_requests(seat, open.first, open.end);
 }
 
-void record_use(const slot_options& options, slot_use& use, duration true_time)
+void record_use(
+    const slot_options& options,
+    const shared_rate& rate,
+    const entry_seat& seat,
+    slot_use& use,
+    duration true_time)
 {
-    const std::int64_t slot = slot_at(options, true_time);
-    if (slot > use.slot)
-        use = {slot, 0};
-    ++use.requests;
+    if (seat.count == 0)
+        return;
+    const open_requests open =
+        requests_at(options, rate, seat, use, slot_at(options, true_time));
+    use = {rate.requests_per_s, open.first + 1};
 }
 
 std::optional<duration> time_to_request(
@@ -90,22 +132,18 @@
 {
     if (seat.count == 0)
         return std::nullopt;
-    const std::uint32_t left =
-        requests_left(options, rate, seat, use, true_time);
-    if (ahead < left)
+    const std::int64_t now_slot = slot_at(options, true_time);
+    const open_requests open = requests_at(options, rate, seat, use, now_slot);
+    if (ahead < own_requests(seat, open.first, open.end))
         return duration{};
-    const double per_slot = rate_per_slot(options, rate);
-    const std::int64_t slot =
-        std::max(slot_at(options, true_time), use.slot) + 1;
-    const std::int64_t own =
-        next_own_request(rate, seat, requests_before(per_slot, slot)) +
-        std::int64_t{ahead - left} * seat.count;
+    const std::int64_t own = open.first + std::int64_t{ahead} * seat.count;
     // The slot in which that request lies: the first one that ends above it.
-    const auto at = static_cast<std::int64_t>(
-                        std::ceil(static_cast<double>(own + 1) / per_slot)) -
-                    1;
+    const double per_slot = rate_per_slot(options, rate);
+    const auto slot = static_cast<std::int64_t>(
+                          std::ceil(static_cast<double>(own + 1) / per_slot)) -
+                      1;
     return std::max(
-        std::max(at, slot) * options.length - true_time, duration{});
+        std::max(slot, now_slot + 1) * options.length - true_time, duration{});
 }
 
 } // namespace bergamotusher::admission
--- a/src/admission/slot_share.hpp
+++ b/src/admission/slot_share.hpp
@@ -25,6 +25,16 @@
     /// A lower rate is taken as this one, so that whoever named 0 is asked
     /// again: one request in 30 s over all entries.
     double min_rate = 1.0 / 30;
+    /// A higher rate is taken as this one: no upstream serves as many, and the
+    /// numbers of requests since the epoch stay exact.
+    double max_rate = 1e6;
+    /// Requests over all entries that may be left unused and sent later, beside
+    /// those of one slot: entries without callers in one slot have some in the
+    /// next. Upstreams bear five more in 4 s than one and a half times their
+    /// rate allows, which is another slot's.
+    double spare_requests = 3;
+    /// The most slots after its own in which a request may be sent.
+    double max_later_slots = 8;
 };
 
 /// The place of an entry among those that share rates. `count` 0 means that it
@@ -45,25 +55,29 @@
     std::uint64_t key = 0;
 };
 
-/// What an entry used in the latest slot in which it used anything.
+/// What an entry used of a rate. All requests that a rate allows are numbered
+/// through since the epoch.
 struct slot_use
 {
-    std::int64_t slot = 0;
-    std::uint32_t requests = 0;
+    /// The rate by which requests are numbered.
+    double requests_per_s = 0;
+    /// Own requests with lower numbers are used.
+    std::int64_t next_request = 0;
 };
 
 /// The number of the slot that contains `true_time`, a time of day that is
 /// about equal at all entries.
 std::int64_t slot_at(const slot_options& options, duration true_time);
 
-/// Requests that the entry may send in a slot.
+/// Requests that are dealt out to the entry in a slot. It may send them in that
+/// slot and, as far as `slot_options` says, later.
 std::uint32_t requests_in_slot(
     const slot_options& options,
     const shared_rate& rate,
     const entry_seat& seat,
     std::int64_t slot);
 
-/// Requests that the entry may still send in the slot at `true_time`.
+/// Requests that the entry may send at `true_time`.
 std::uint32_t requests_left(
     const slot_options& options,
     const shared_rate& rate,
@@ -72,7 +86,12 @@
     duration true_time);
 
 /// Counts a request that is sent at `true_time`.
-void record_use(const slot_options& options, slot_use& use, duration true_time);
+void record_use(
+    const slot_options& options,
+    const shared_rate& rate,
+    const entry_seat& seat,
+    slot_use& use,
+    duration true_time);
 
 /// Time until the entry may send its request number `ahead`, counted from 0
 /// among those that it may still send; nothing if its seat is not known.
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -17,6 +17,9 @@
 using observe::decision;
 using observe::log_line;
 
+/// How far ahead another node's clock may be.
+constexpr std::int64_t max_clock_lead_ms = 1000;
+
 /// Each node gets every n-th report. While the entry is not ready it reports
 /// often, to a few nodes at a time: all entries do so at once when the control
 /// nodes are overloaded or have just started.
@@ -124,18 +127,10 @@
             now);
     }
     remove_expired(view_.directory, options_.upstream_retention, now);
-    // A limit may be heard of before its upstream, and then has that long to
-    // appear in the directory.
-    const std::int64_t true_ms = true_time(view_, now) / 1ms;
     drop_obsolete(
         view_.upstream_limits,
-        [&](const site::stated_limit& each)
-        {
-            return view_.directory.upstreams.count(each.upstream) > 0 ||
-                   true_ms - each.read_at_ms <
-                       options_.withdrawn_limit_retention / 1ms;
-        },
-        true_ms - options_.withdrawn_limit_retention / 1ms);
+        view_.directory,
+        true_time(view_, now) / 1ms - options_.withdrawn_limit_retention / 1ms);
     send_reports(now);
 }
 
@@ -155,6 +150,7 @@
         limits_reported_at_ = now;
     }
     const std::string base_report = encode_report(now, false);
+    const std::string limits = encode_limits();
     ++report_round_;
     const bool is_urgent = draining_ || std::exchange(reports_to_all_, false);
     std::size_t index = 0;
@@ -172,7 +168,7 @@
         if (is_leader)
             send_leader_report(now);
         else
-            send_(id, base_report);
+            send_report(id, base_report, limits);
     }
 }
 
@@ -181,7 +177,7 @@
     view_.limits_nearly_used = false;
     leader_reported_at_ = now;
     if (!leader_.empty())
-        send_(leader_, encode_report(now, true));
+        send_report(leader_, encode_report(now, true), encode_limits());
 }
 
 void control_link::write_limit_use(pb::entry_report& report, time_point now)
@@ -269,19 +265,23 @@
         relay_.on_content_suspended();
 }
 
-void control_link::write_limits(pb::entry_report& report) const
+std::string control_link::encode_limits() const
 {
-    const site::limit_board& board = view_.upstream_limits;
-    report.set_limit_digest(board.digest);
-    const bool is_known_everywhere = std::all_of(
-        nodes_.begin(),
-        nodes_.end(),
-        [&](const auto& node)
-        { return node.second.limit_digest == board.digest; });
-    if (is_known_everywhere)
-        return;
-    for (const site::stated_limit& each : statements(board))
+    pb::entry_report report;
+    for (const site::stated_limit& each : statements(view_.upstream_limits))
         site::write(*report.add_limits(), each);
+    return report.SerializeAsString();
+}
+
+void control_link::send_report(
+    const node_id& to, const std::string& report, const std::string& limits)
+{
+    const auto node = nodes_.find(to);
+    const bool lacks_limits =
+        node != nodes_.end() && !node->second.lost &&
+        node->second.limit_digest != view_.upstream_limits.digest;
+    // Two encoded parts of a message are one message.
+    send_(to, lacks_limits ? report + limits : report);
 }
 
 void control_link::read_limits(
@@ -290,9 +290,16 @@
     nodes_[from].limit_digest = report.limit_digest();
     for (const pb::stated_limit& each : report.limits())
     {
-        const auto statement = site::read(each);
-        if (!statement || !record_limit(view_, *statement))
+        auto statement = site::read(each);
+        if (!statement)
             continue;
+        // A clock that is ahead must not outdate what comes after it.
+        statement->read_at_ms = std::min(
+            statement->read_at_ms,
+            true_time(view_, now) / 1ms + max_clock_lead_ms);
+        if (!record_limit(view_, *statement))
+            continue;
+        relay_.on_limits_changed();
         log_.write(
             log_line(decision::upstream_limited)
                 .with("upstream", statement->upstream.value)
@@ -305,7 +312,7 @@
     }
     // Only the leader's list of entries is one that all entries go by.
     if (report.entry_number() > 0 && report.is_leader() && from == leader_)
-        view_.seat = {report.entry_number() - 1, report.entries()};
+        view_.seat = {report.entry_number() - 1, report.entry_count()};
 }
 
 std::string control_link::encode_report(time_point now, bool to_leader)
@@ -320,7 +327,7 @@
     report.set_domain(options_.domain.value);
     report.set_directory_digest(view_.directory.digest);
     write_crashes(report, now);
-    write_limits(report);
+    report.set_limit_digest(view_.upstream_limits.digest);
     const std::uint64_t newest_window =
         view_.started_requests.empty() ? 0
                                        : view_.started_requests.rbegin()->first;
@@ -378,6 +385,10 @@
             seconds);
         load.set_request_rate(
             static_cast<double>(counts.sent - before.sent) / seconds);
+        load.set_refused_rate(
+            static_cast<double>(
+                counts.refused_for_limits - before.refused_for_limits) /
+            seconds);
         before = counts;
         site::write(
             *load.mutable_prefill_speed(), view_.prefill_speeds[service]);
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -113,7 +113,13 @@
     void write_limit_use(wire::site::entry_report& report, time_point now);
     void write_crashes(wire::site::entry_report& report, time_point now) const;
     void read_crashes(const wire::site::control_report& report, time_point now);
-    void write_limits(wire::site::entry_report& report) const;
+    /// The part of a report that lists the limits of upstreams.
+    std::string encode_limits() const;
+    /// Sends a report, with `limits` if the node knows others.
+    void send_report(
+        const node_id& to,
+        const std::string& report,
+        const std::string& limits);
     void read_limits(
         const node_id& from,
         const wire::site::control_report& report,
--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -403,6 +403,11 @@
         "counter",
         "Messages dropped as of an older incarnation of their sender.",
         status_of(*peers_).stale_incarnation);
+    write_metric(
+        "refused_for_limits_total",
+        "counter",
+        "Requests refused since all upstreams name limits.",
+        counts.limited);
     write_metric(
         "upstreams", "gauge", "Upstreams known.", view_.upstreams.size());
     write_metric(
--- a/src/gateway/entry_view.hpp
+++ b/src/gateway/entry_view.hpp
@@ -43,13 +43,15 @@
 };
 
 /// Requests of one service at this entry. `running` and `waiting` are current
-/// values; tokens and sent requests are counted since the start.
+/// values; tokens, sent and refused requests are counted
+/// since the start.
 struct service_counts
 {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint64_t prefill_tokens = 0;
     std::uint64_t sent = 0;
+    std::uint64_t refused_for_limits = 0;
 };
 
 struct entry_view
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -54,18 +54,27 @@
 void record_limit_use(upstream_view& view, const limit_terms& terms)
 {
     if (view.limit)
-        record_use(terms.options, view.limit_use, terms.true_time);
+        record_use(
+            terms.options,
+            {*view.limit, view.id_hash},
+            terms.seat,
+            view.limit_use,
+            terms.true_time);
 }
 
 std::optional<duration> time_to_limited_request(
     const std::vector<upstream_view*>& upstreams,
+    const std::set<upstream_id>& tried,
     std::uint32_t ahead,
-    const limit_terms& terms)
+    const limit_terms& terms,
+    time_point now)
 {
     std::vector<duration> times;
     for (const upstream_view* each : upstreams)
     {
-        if (each->value.state != site::upstream_state::ready || !each->limit)
+        if (each->value.state != site::upstream_state::ready || !each->limit ||
+            each->is_silent || now < each->avoid_until ||
+            tried.count(each->value.id) > 0)
             continue;
         for (std::uint32_t i = 0; i <= ahead; ++i)
             if (const auto time = admission::time_to_request(
@@ -168,7 +177,7 @@
                 best.running_ms = running_ms;
             }
         }
-        if (best.upstream != nullptr || best.all_full || best.is_limited)
+        if (best.upstream != nullptr || best.all_full)
             break;
     }
     best.is_limited = best.is_limited && best.upstream == nullptr;
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -106,11 +106,14 @@
 void record_limit_use(upstream_view& view, const limit_terms& terms);
 
 /// Time until the entry may send its request number `ahead`, counted from 0, to
-/// one of `upstreams`, all of which name a limit; nothing if that is not known.
+/// one of `upstreams` that names a limit; nothing if none can be used. Leaves
+/// out those of `tried`.
 std::optional<duration> time_to_limited_request(
     const std::vector<upstream_view*>& upstreams,
+    const std::set<upstream_id>& tried,
     std::uint32_t ahead,
-    const limit_terms& terms);
+    const limit_terms& terms,
+    time_point now);
 
 /// Properties of a request that affect its placement.
 struct placement_request
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -210,6 +210,13 @@
     if (is_too_late(*req, uptime()))
         return reject_as_draining(req);
     const placement_choice choice = choose_upstream(req);
+    // A request does not overtake those that wait for a part of a limit.
+    if (choice.upstream != nullptr && choice.upstream->limit &&
+        !waiting_[req->service].empty())
+    {
+        enqueue(req);
+        return dispatch_waiting(req->service);
+    }
     if (choice.upstream != nullptr)
         return send(req, choice);
     if (choice.is_limited && !choice.all_full)
@@ -383,6 +390,7 @@
     ++counts.running;
     counts.prefill_tokens += choice.uncached_tokens;
     ++counts.sent;
+    req->waiting_for_limit_since.reset();
     ++tally(*req).sent;
     ++counters_.sent;
     if (req->is_sampled)
@@ -461,7 +469,7 @@
     reject_late(now);
     for (auto& [service, waiting] : waiting_)
         dispatch_waiting(service);
-    reject_beyond_limits();
+    review_limited_requests();
     reject_unservable(now);
 }
 
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -161,6 +161,9 @@
     /// Refuses the waiting requests that must not reach upstreams any more.
     void on_content_suspended();
 
+    /// An upstream names another limit than before.
+    void on_limits_changed();
+
     /// Periodic work; to be called a few times per second.
     void tick();
 
@@ -197,8 +200,9 @@
     /// Queues a request whose upstreams all name limits, or refuses it if no
     /// part of them is free in time.
     void wait_for_limit(const request_ptr& req);
-    /// Refuses the requests that wait for limits which have become too low.
-    void reject_beyond_limits();
+    /// Looks at the requests of each service whose first one waits for a limit
+    /// again: limits may have become lower.
+    void review_limited_requests();
     void reject_limited(const request_ptr& req);
     /// Records what the upstream of the attempt says of itself in an answer.
     void read_statement(const request_ptr& req, const answer_metadata& facts);
--- a/src/gateway/relay_limits.cpp
+++ b/src/gateway/relay_limits.cpp
@@ -41,19 +41,27 @@
                 now);
         return;
     }
+    // A refusal or a failure of another kind may come without the field.
     const bool is_withdrawal =
-        !facts.limit && upstream.limit && (facts.is_signed || facts.not_run);
+        !facts.limit && upstream.limit && facts.is_signed && !facts.not_run;
     if (!facts.limit && !is_withdrawal)
         return;
     const std::optional<double> before = upstream.limit;
-    const site::stated_limit statement{
+    site::stated_limit statement{
         req->upstream,
         upstream.value.started_ms,
         facts.limit,
         true_time(view_, now) / 1ms};
+    // What is read here is newer than what is known, by whatever clock.
+    const auto known = view_.upstream_limits.limits.find(req->upstream);
+    if (known != view_.upstream_limits.limits.end() &&
+        known->second.started_ms == statement.started_ms)
+        statement.read_at_ms =
+            std::max(statement.read_at_ms, known->second.read_at_ms + 1);
     if (!record_limit(view_, statement))
         return;
     view_.is_limit_report_due = true;
+    on_limits_changed();
     log_.write(
         make_log_line(*req, decision::upstream_limited, now)
             .with("upstream", req->upstream.value)
@@ -65,37 +73,48 @@
         now);
 }
 
+void relay::on_limits_changed()
+{
+    limited_return_at_.clear();
+}
+
 void relay::wait_for_limit(const request_ptr& req)
 {
+    const time_point now = uptime();
     const auto& waiting = waiting_[req->service];
+    const auto ahead = std::count_if(
+        waiting.begin(),
+        waiting.end(),
+        [&](const request_ptr& other)
+        { return other->route->priority <= req->route->priority; });
     const auto free_in = time_to_limited_request(
         eligible_upstreams(view_, req->service, req->version_draw),
-        static_cast<std::uint32_t>(waiting.size()),
-        current_limit_terms(uptime()));
+        req->tried,
+        static_cast<std::uint32_t>(ahead),
+        current_limit_terms(now),
+        now);
+    if (!req->waiting_for_limit_since)
+        req->waiting_for_limit_since = now;
     const duration longest = from_seconds(
         options_.limit_wait_fraction * to_seconds(req->route->target_latency));
-    if (free_in && *free_in <= longest)
+    if (free_in && now + *free_in <= *req->waiting_for_limit_since + longest)
         return enqueue(req);
     reject_limited(req);
 }
 
-void relay::reject_beyond_limits()
+void relay::review_limited_requests()
 {
-    for (auto& [service, waiting] : waiting_)
-    {
-        if (waiting.empty())
-            continue;
-        const request_ptr first = waiting.front();
-        const placement_choice choice = choose_upstream(first);
-        if (!choice.is_limited || choice.all_full)
-            continue;
-        for (const request_ptr& req : std::exchange(waiting, {}))
+    std::vector<service_name> limited;
+    for (const auto& [service, waiting] : waiting_)
+        if (!waiting.empty() && waiting.front()->waiting_for_limit_since)
+            limited.push_back(service);
+    for (const service_name& service : limited)
+        for (const request_ptr& req : std::exchange(waiting_[service], {}))
         {
             --view_.services[service].waiting;
             req->is_waiting = false;
-            wait_for_limit(req);
+            dispatch(req);
         }
-    }
 }
 
 void relay::reject_limited(const request_ptr& req)
@@ -108,8 +127,8 @@
         if (each->value.state == site::upstream_state::ready && each->limit)
             rate += std::max(*each->limit, options_.upstream_limits.min_rate);
     const std::uint32_t entries = std::max(view_.seat.count, 1U);
-    const auto free_in =
-        time_to_limited_request(upstreams, 0, current_limit_terms(now));
+    const auto free_in = time_to_limited_request(
+        upstreams, {}, 0, current_limit_terms(now), now);
     // Callers return one after the other, as fast as this entry's part of the
     // limits serves them.
     time_point& return_at = limited_return_at_[req->service];
@@ -121,6 +140,7 @@
             return_at + from_seconds(entries / rate),
             now + options_.limit_retry_after_max);
     ++counters_.limited;
+    ++view_.services[req->service].refused_for_limits;
     reject(
         req,
         error_kind::overloaded,
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -33,6 +33,8 @@
     bool is_sampled = false;
     bool is_waiting = false;
     time_point waiting_since;
+    /// Since when the request has waited for a part of a limit.
+    std::optional<time_point> waiting_for_limit_since;
 
     /// Set once it is needed; see `crash_subjects_of`.
     std::vector<crash_subject> crash_subjects;
--- a/src/site/control_duties.cpp
+++ b/src/site/control_duties.cpp
@@ -169,6 +169,7 @@
             demand.requests += found->second.requests;
             demand.prompt_tokens += found->second.prompt_tokens;
             demand.request_rate += found->second.request_rate;
+            demand.refused_rate += found->second.refused_rate;
             speeds.push_back(found->second.speed);
         }
         for (const auto& [id, upstream] : directory_.upstreams)
--- a/src/site/control_limits.cpp
+++ b/src/site/control_limits.cpp
@@ -5,6 +5,8 @@
 #include "site/site_codec.hpp"
 #include "wire/site.pb.h"
 
+#include <algorithm>
+
 namespace bergamotusher::site
 {
 
@@ -15,8 +17,14 @@
 using observe::decision;
 using observe::log_line;
 
-/// An entry is counted for sharing limits for this long after its last report.
+/// An entry is counted for sharing the accounts' limits for this long after its
+/// last report.
 constexpr duration limit_share_timeout = 10s;
+/// An entry has a seat for this long after its last report: several report
+/// intervals, and longer than a restart.
+constexpr duration seat_timeout = 3s;
+/// How far ahead an entry's clock may be.
+constexpr std::int64_t max_clock_lead_ms = 1000;
 
 } // namespace
 
@@ -25,8 +33,14 @@
 {
     for (const pb::stated_limit& each : report.limits())
     {
-        const auto statement = site::read(each);
-        if (!statement || !merge(upstream_limits_, *statement))
+        auto statement = site::read(each);
+        if (!statement)
+            continue;
+        // A clock that is ahead must not outdate what comes after it.
+        statement->read_at_ms = std::min(
+            statement->read_at_ms,
+            true_time_ms(clock_, time_of_day(), now) + max_clock_lead_ms);
+        if (!merge(upstream_limits_, *statement))
             continue;
         upstream_limits_changed_ = true;
         log_.write(
@@ -52,33 +66,35 @@
     pb::control_report& report, const node_id& entry, time_point now) const
 {
     std::uint32_t entries = 0;
+    std::uint32_t seats = 0;
     std::uint32_t number = 0;
     for (const auto& [id, each] : entries_)
     {
-        if (now - each.heard_at >= limit_share_timeout)
+        if (now - each.heard_at < limit_share_timeout)
+            ++entries;
+        if (now - each.heard_at >= seat_timeout)
             continue;
-        ++entries;
+        ++seats;
         if (id == entry)
-            number = entries;
+            number = seats;
     }
     report.set_entries(entries);
-    if (is_leader_ && now - started_at_ >= options_.entry_warm_up)
+    // After a pause of this process the entries may seem to be silent, and
+    // another node may lead.
+    if (is_leader_ && now >= entries_known_at_ && order_fence(*control_, now))
+    {
         report.set_entry_number(number);
+        report.set_entry_count(seats);
+    }
 }
 
 void control_service::drop_obsolete_limits(time_point now)
 {
-    const std::int64_t true_ms = true_time_ms(clock_, time_of_day(), now);
-    const std::int64_t oldest_ms =
-        true_ms - options_.withdrawn_limit_retention / 1ms;
     drop_obsolete(
         upstream_limits_,
-        [&](const stated_limit& each)
-        {
-            return directory_.upstreams.count(each.upstream) > 0 ||
-                   each.read_at_ms >= oldest_ms;
-        },
-        oldest_ms);
+        directory_,
+        true_time_ms(clock_, time_of_day(), now) -
+            options_.withdrawn_limit_retention / 1ms);
 }
 
 } // namespace bergamotusher::site
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -407,6 +407,7 @@
                 static_cast<double>(each.running() + each.waiting());
             demand.prompt_tokens = each.prompt_rate();
             demand.request_rate = each.request_rate();
+            demand.refused_rate = each.refused_rate();
             demand.speed = site::read(each.prefill_speed());
         }
     }
@@ -489,6 +490,9 @@
 {
     const measured_step step(steps_, "did what was due");
     const time_point now = uptime();
+    constexpr duration longest_tick = 1s;
+    if (now - std::exchange(ticked_at_, now) > longest_tick)
+        entries_known_at_ = now + options_.entry_warm_up;
     expire_changes(now);
     update_leadership();
     merge_held_announcements(now);
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -323,6 +323,10 @@
     std::map<upstream_id, upstream> pending_updates_;
     boost::asio::steady_timer flush_timer_;
     time_point started_at_;
+    /// When the tick last ran, and from when on this node has heard of every
+    /// entry.
+    time_point ticked_at_;
+    time_point entries_known_at_;
     /// The encoded directory, and the digest for which it was made.
     std::string full_directory_;
     std::uint64_t full_directory_digest_ = 0;
--- a/src/site/rent_policy.cpp
+++ b/src/site/rent_policy.cpp
@@ -161,13 +161,21 @@
                              (demand.prompt_tokens - planned.prompt_tokens);
     planned.request_rate +=
         options.demand_smoothing * (demand.request_rate - planned.request_rate);
+    planned.refused_rate +=
+        options.demand_smoothing * (demand.refused_rate - planned.refused_rate);
     double current_need = std::max(
         planned.requests / planned_requests(options, counts.median_slots),
         planned.prompt_tokens /
             planned_prompt_rate(
                 options,
                 update_planned_speed(options, state, service, demand.speed)));
-    current_need += lost_to_limits(demand, planned.request_rate, current_need);
+    // What was refused would need as much as what was sent.
+    if (planned.request_rate > 0)
+        current_need *= std::min(
+            1 + planned.refused_rate / planned.request_rate,
+            options.max_growth_for_refused);
+    current_need += lost_to_limits(
+        demand, planned.request_rate + planned.refused_rate, current_need);
     const auto initial = state.initial_on_demand.find(service);
     if (demand.requests <= 0 && state.demand_since.count(service) == 0 &&
         initial != state.initial_on_demand.end())
--- a/src/site/rent_policy.hpp
+++ b/src/site/rent_policy.hpp
@@ -68,6 +68,9 @@
     /// fraction of the live ones: they are cheap and may not be available again
     /// soon.
     double release_threshold = 0.6;
+    /// Greatest factor by which the need grows for requests that were refused
+    /// since upstreams name limits: those callers come back, and count again.
+    double max_growth_for_refused = 4;
     /// Weight of a new demand report in the exponentially smoothed demand, per
     /// round.
     double demand_smoothing = 0.13;
@@ -110,8 +113,10 @@
     /// A version move is active. The upstreams of both versions are needed
     /// until its verdict, so none is released.
     bool is_moving = false;
-    /// Requests sent to upstreams per second, over all entries.
+    /// Requests sent to upstreams per second, over all entries, and requests
+    /// refused since upstreams name limits.
     double request_rate = 0;
+    double refused_rate = 0;
     /// Requests per second that ready upstreams take at most, of those that
     /// name a limit.
     std::vector<double> limits;
--- a/src/site/stated_limits.cpp
+++ b/src/site/stated_limits.cpp
@@ -7,6 +7,24 @@
 namespace bergamotusher::site
 {
 
+namespace
+{
+
+/// Computes `digest` anew, after `limits` was changed.
+void update_digest(limit_board& board)
+{
+    board.digest = 0;
+    for (const auto& [id, each] : board.limits)
+        if (each.requests_per_s)
+            board.digest += mixed_hash(
+                hash_of(id.value),
+                mixed_hash(
+                    static_cast<std::uint64_t>(each.started_ms),
+                    std::bit_cast<std::uint64_t>(*each.requests_per_s)));
+}
+
+} // namespace
+
 bool merge(limit_board& board, const stated_limit& value)
 {
     const auto [found, is_new] = board.limits.try_emplace(value.upstream);
@@ -50,16 +68,28 @@
     return all;
 }
 
-void update_digest(limit_board& board)
+void drop_obsolete(
+    limit_board& board,
+    const upstream_directory& directory,
+    std::int64_t before_ms)
 {
-    board.digest = 0;
-    for (const auto& [id, each] : board.limits)
-        if (each.requests_per_s)
-            board.digest += mixed_hash(
-                hash_of(id.value),
-                mixed_hash(
-                    static_cast<std::uint64_t>(each.started_ms),
-                    std::bit_cast<std::uint64_t>(*each.requests_per_s)));
+    const auto is_listed = [&](const stated_limit& each)
+    {
+        const auto found = directory.upstreams.find(each.upstream);
+        return found != directory.upstreams.end() &&
+               found->second.value.state != upstream_state::gone &&
+               found->second.value.started_ms == each.started_ms;
+    };
+    const std::size_t dropped = std::erase_if(
+        board.limits,
+        [&](const auto& item)
+        {
+            const stated_limit& each = item.second;
+            return each.read_at_ms < before_ms &&
+                   (!each.requests_per_s || !is_listed(each));
+        });
+    if (dropped > 0)
+        update_digest(board);
 }
 
 } // namespace bergamotusher::site
--- a/src/site/stated_limits.hpp
+++ b/src/site/stated_limits.hpp
@@ -3,6 +3,8 @@
 // from the others.
 #pragma once
 
+#include "site/upstream_directory.hpp"
+
 #include <bergamotusher/ids.hpp>
 
 #include <cstdint>
@@ -43,37 +45,16 @@
     const upstream_id& upstream,
     std::int64_t started_ms);
 
-/// Removes the limits for which `is_known` is false, and
-/// statements that there is no limit read before `withdrawn_before_ms`. These
-/// are kept for a while, since older statements may be on their way.
-template<class IsKnown>
+/// Removes, of what was read before `before_ms`, limits of incarnations that
+/// the directory does not list as ready or draining, and statements that there
+/// is none. These are kept until then, since older statements may be on their
+/// way, and a limit may be heard of before its upstream.
 void drop_obsolete(
     limit_board& board,
-    const IsKnown& is_known,
-    std::int64_t withdrawn_before_ms);
+    const upstream_directory& directory,
+    std::int64_t before_ms);
 
 /// All statements, withdrawn limits included.
 std::vector<stated_limit> statements(const limit_board& board);
 
-/// Computes `digest` anew, after `limits` was changed.
-void update_digest(limit_board& board);
-
-template<class IsKnown>
-void drop_obsolete(
-    limit_board& board,
-    const IsKnown& is_known,
-    std::int64_t withdrawn_before_ms)
-{
-    const std::size_t dropped = std::erase_if(
-        board.limits,
-        [&](const auto& item)
-        {
-            const stated_limit& each = item.second;
-            return !is_known(each) || (!each.requests_per_s &&
-                                       each.read_at_ms < withdrawn_before_ms);
-        });
-    if (dropped > 0)
-        update_digest(board);
-}
-
 } // namespace bergamotusher::site
--- a/tests/admission/slot_share_test.cpp
+++ b/tests/admission/slot_share_test.cpp
@@ -62,7 +62,7 @@
             const duration local = now + each.clock_offset;
             while (requests_left(options, rate, each.seat, each.use, local) > 0)
             {
-                record_use(options, each.use, local);
+                record_use(options, rate, each.seat, each.use, local);
                 sent.add(now, window);
             }
         }
@@ -101,6 +101,32 @@
         CHECK(sent.total >= 0.98 * rate * to_seconds(span) - 1);
         CHECK(sent.total <= rate * to_seconds(span) + 1);
     }
+    SECTION("where many callers come after a pause")
+    {
+        const auto sent =
+            run(entries,
+                shared,
+                span,
+                [&](duration now)
+                {
+                    // Asleep for 10 s of each 20 s.
+                    for (std::uint32_t i = 0; i < count; ++i)
+                        entries[i].seat.count = now % 20s < 10s ? 0 : count;
+                });
+        CHECK(sent.most_in_window <= most_allowed(rate));
+        CHECK(sent.total >= 0.45 * rate * to_seconds(span) - 1);
+    }
+    SECTION("where the rate changes meanwhile")
+    {
+        std::size_t total = 0;
+        for (const double now_allowed : {rate, 3 * rate, rate / 3})
+        {
+            const auto sent = run(entries, {now_allowed, 12345}, span);
+            CHECK(sent.most_in_window <= most_allowed(now_allowed));
+            total += sent.total;
+        }
+        CHECK(total >= 4 * rate * to_seconds(span));
+    }
     SECTION("where their clocks differ by a second")
     {
         std::mt19937 random(count);
@@ -163,13 +189,42 @@
     CHECK(sent.most_in_window == 1);
 }
 
-TEST_CASE("a slot that was used does not come back with the clock")
+TEST_CASE("a request that was used does not come back with the clock")
 {
     const slot_options options;
+    const shared_rate rate{50, 1};
+    const entry_seat alone{0, 1};
     slot_use use;
-    record_use(options, use, start);
-    CHECK(requests_left(options, {50, 1}, {0, 1}, use, start - 5s) == 0);
-    CHECK(requests_left(options, {50, 1}, {0, 1}, use, start) == 49);
+    for (int i = 0; i < 50; ++i)
+        record_use(options, rate, alone, use, start);
+    CHECK(requests_left(options, rate, alone, use, start) == 0);
+    CHECK(requests_left(options, rate, alone, use, start - 1s) == 0);
+    CHECK(requests_left(options, rate, alone, use, start + 1s) == 50);
+
+    SECTION("but a clock that was far ahead stops nothing")
+    {
+        record_use(options, rate, alone, use, start + 1h);
+        CHECK(requests_left(options, rate, alone, use, start + 2s) == 0);
+        CHECK(time_to_request(options, rate, alone, use, 0, start + 2s) == 1s);
+    }
+}
+
+TEST_CASE("a rate of any size can be shared")
+{
+    const slot_options options;
+    for (const double rate : {1e-300, 0.0, 1e10, 1e300})
+    {
+        slot_use use;
+        const entry_seat seat{3, 7};
+        const shared_rate shared{rate, 5};
+        const auto wait = time_to_request(options, shared, seat, use, 0, start);
+        REQUIRE(wait);
+        CHECK(*wait >= 0s);
+        CHECK(*wait < 4min);
+        CHECK(requests_left(options, shared, seat, use, start + *wait) > 0);
+        record_use(options, shared, seat, use, start + *wait);
+    }
+    CHECK(requests_left(options, {1e300, 5}, {3, 7}, {}, start) > 100'000);
 }
 
 TEST_CASE("the time to a request is when the entry may send it")
@@ -187,27 +242,22 @@
             std::uint32_t to_use = *rc::gen::inRange(0U, 3U);
             while (to_use-- > 0 &&
                    requests_left(options, rate, seat, use, now) > 0)
-                record_use(options, use, now);
+                record_use(options, rate, seat, use, now);
             const auto ahead = *rc::gen::inRange(0U, 5U);
             const auto wait =
                 time_to_request(options, rate, seat, use, ahead, now);
             RC_ASSERT(wait.has_value());
-            // Sends what it may until then, one step at a time.
+            // Sends what it may at each step until shortly before then.
             std::uint32_t sent = 0;
-            for (duration at = now; at <= now + *wait; at += options.length)
+            const auto send_all = [&](duration at)
+            {
                 for (; requests_left(options, rate, seat, use, at) > 0; ++sent)
-                    record_use(options, use, at);
-            for (const duration at = now + *wait;
-                 requests_left(options, rate, seat, use, at) > 0;
-                 ++sent)
-                record_use(options, use, at);
+                    record_use(options, rate, seat, use, at);
+            };
+            for (duration at = now; at < now + *wait; at += 100ms)
+                send_all(at);
+            RC_ASSERT(sent <= ahead);
+            send_all(now + *wait);
             RC_ASSERT(sent > ahead);
-            if (*wait > 0s)
-            {
-                const std::int64_t slot = slot_at(options, now + *wait);
-                const auto in_slot =
-                    requests_in_slot(options, rate, seat, slot);
-                RC_ASSERT(sent - in_slot <= ahead);
-            }
         });
 }
--- a/tests/gateway/upstream_limit_test.cpp
+++ b/tests/gateway/upstream_limit_test.cpp
@@ -170,6 +170,57 @@
     CHECK(served <= 6);
 }
 
+TEST_CASE("a request waits for a part of a limit that comes in time")
+{
+    seated_entry entry(0, 1);
+    const auto upstream = entry.add_upstream("u1", "desk");
+    record_limit(entry.view, {{"u1"}, 0, 1.0, 1});
+    // The site's routes have a target of 300 ms.
+    std::size_t served = 0;
+    std::size_t refused = 0;
+    duration longest{};
+    const time_point began = uptime();
+    for (int attempt = 1; uptime() - began < 4s; ++attempt)
+    {
+        upstream->scripts = {limited("1", attempt)};
+        const time_point sent_at = uptime();
+        const std::string received = entry.send_request(lookup(attempt));
+        longest = std::max(longest, uptime() - sent_at);
+        (contains(received, "found") ? served : refused) += 1;
+    }
+    CHECK(served >= 4);
+    CHECK(refused > 10);
+    CHECK(longest < 300ms);
+}
+
+TEST_CASE("a request does not wait for limits that do not help it")
+{
+    seated_entry entry(0, 1);
+    const auto limited_one = entry.add_upstream("u1", "desk");
+    record_limit(entry.view, {{"u1"}, 0, 1.0, 1});
+    limited_one->scripts = {limited("1", 1)};
+    REQUIRE(contains(entry.send_request(lookup(1)), "found"));
+
+    SECTION("of an upstream that seems to be silent and is tried at last")
+    {
+        entry.view.upstreams.at({"u1"})->is_silent = true;
+        constexpr std::int64_t later_ms = 9'000'000'000'000;
+        record_limit(entry.view, {{"u1"}, 0, 50.0, later_ms});
+        const auto other = entry.add_upstream("u2", "desk");
+        record_limit(entry.view, {{"u2"}, 0, 0.0, 1});
+        limited_one->scripts = {limited("50", 2)};
+        CHECK(contains(entry.send_request(lookup(2)), "found"));
+    }
+    SECTION("while an upstream without one seems to be silent")
+    {
+        const auto silent = entry.add_upstream("u2", "desk");
+        entry.view.upstreams.at({"u2"})->is_silent = true;
+        silent->scripts = {answer(200, "found", 2)};
+        CHECK(contains(entry.send_request(lookup(2)), "found"));
+        CHECK(silent->requests.size() == 1);
+    }
+}
+
 TEST_CASE("an entry that does not know its place sends nothing beyond limits")
 {
     entry_fixture entry;
--- a/tests/site/rent_policy_test.cpp
+++ b/tests/site/rent_policy_test.cpp
@@ -409,6 +409,18 @@
         CHECK(need <= need_before + 4);
         CHECK(platform.live_upstreams() > unlimited.live_upstreams());
     }
+    SECTION("also where most callers are refused for them")
+    {
+        // Eighteen upstreams take one request a second each, of 90.
+        service_demand served = demand;
+        served.requests /= 5;
+        served.prompt_tokens /= 5;
+        served.request_rate = 18;
+        served.refused_rate = 72;
+        served.limits.assign(18, 1.0);
+        platform.run(40s, served);
+        CHECK(platform.state.last_basis[{"llm"}].need > need_before + 10);
+    }
     SECTION("a limit above what they would get costs nothing")
     {
         demand.limits = {1000, 1000, 1000, 1000};
--- a/tests/site/stated_limits_test.cpp
+++ b/tests/site/stated_limits_test.cpp
@@ -69,12 +69,35 @@
         CHECK_FALSE(merge(board, limit(1.5, 999)));
         CHECK(limit_of(board, {"u1"}, 2) == 4.0);
     }
-    SECTION("it is dropped with its upstream")
+    SECTION("it is dropped some time after its upstream")
     {
-        drop_obsolete(
-            board, [](const stated_limit&) { return false; }, 0);
-        CHECK(board.limits.empty());
-        CHECK(board.digest == 0);
+        upstream_directory directory;
+        upstream value;
+        value.id = {"u1"};
+        value.started_ms = 1;
+        value.sequence = 1;
+        merge(directory, value, time_point{1s});
+        drop_obsolete(board, directory, 200);
+        CHECK(limit_of(board, {"u1"}, 1) == 1.5);
+
+        SECTION("that is gone, though its record is kept")
+        {
+            value.state = upstream_state::gone;
+            value.sequence = 2;
+            merge(directory, value, time_point{2s});
+            drop_obsolete(board, directory, 50);
+            CHECK(board.limits.size() == 1);
+            drop_obsolete(board, directory, 200);
+            CHECK(board.limits.empty());
+            CHECK(board.digest == 0);
+        }
+        SECTION("or has started again")
+        {
+            value.started_ms = 2;
+            merge(directory, value, time_point{2s});
+            drop_obsolete(board, directory, 200);
+            CHECK(board.limits.empty());
+        }
     }
 }
 
