LIMIT: a test whose second upstream still had a request to give

Cause: a limit of 0 lets one request in 30 s through, so the request of the section "of an upstream that seems to be silent and is tried at last" could go to the other upstream. The test now uses that part up first; its checks are unchanged. Also an unused declaration that the linter reports.

--- a/src/gateway/relay_limits.cpp
+++ b/src/gateway/relay_limits.cpp
@@ -12,7 +12,6 @@
 {
 
 using observe::decision;
-using observe::log_line;
 
 constexpr int status_misdirected = 421;
 
--- a/tests/gateway/upstream_limit_test.cpp
+++ b/tests/gateway/upstream_limit_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 using namespace relay_fixture;
 
 namespace
@@ -208,6 +210,8 @@
         record_limit(entry.view, {{"u1"}, 0, 50.0, later_ms});
         const auto other = entry.add_upstream("u2", "desk");
         record_limit(entry.view, {{"u2"}, 0, 0.0, 1});
+        entry.view.upstreams.at({"u2"})->limit_use = {
+            0.0, std::numeric_limits<std::int64_t>::max()};
         limited_one->scripts = {limited("50", 2)};
         CHECK(contains(entry.send_request(lookup(2)), "found"));
     }
