--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -17,9 +17,6 @@
 using observe::decision;
 using observe::log_line;
 
-/// How far ahead another node's clock may be.
-constexpr std::int64_t max_clock_lead_ms = 1000;
-
 /// Each node gets every n-th report. While the entry is not ready it reports
 /// often, to a few nodes at a time: all entries do so at once when the control
 /// nodes are overloaded or have just started.
@@ -288,25 +285,18 @@
     const node_id& from, const pb::control_report& report, time_point now)
 {
     nodes_[from].limit_digest = report.limit_digest();
-    for (const pb::stated_limit& each : report.limits())
+    const std::int64_t now_ms = true_time(view_, now) / 1ms;
+    for (const site::stated_limit& each :
+         site::read_limits(report.limits(), now_ms))
     {
-        auto statement = site::read(each);
-        if (!statement)
-            continue;
-        // A clock that is ahead must not outdate what comes after it.
-        statement->read_at_ms = std::min(
-            statement->read_at_ms,
-            true_time(view_, now) / 1ms + max_clock_lead_ms);
-        if (!record_limit(view_, *statement))
+        if (!record_limit(view_, each))
             continue;
         relay_.on_limits_changed();
         log_.write(
             log_line(decision::upstream_limited)
-                .with("upstream", statement->upstream.value)
-                .with("requests_per_s", statement->requests_per_s.value_or(-1))
-                .with(
-                    "age_ms",
-                    true_time(view_, now) / 1ms - statement->read_at_ms)
+                .with("upstream", each.upstream.value)
+                .with("requests_per_s", each.requests_per_s.value_or(-1))
+                .with("age_ms", now_ms - each.read_at_ms)
                 .with("from", from.value),
             now);
     }
--- a/src/site/control_limits.cpp
+++ b/src/site/control_limits.cpp
@@ -5,8 +5,6 @@
 #include "site/site_codec.hpp"
 #include "wire/site.pb.h"
 
-#include <algorithm>
-
 namespace bergamotusher::site
 {
 
@@ -23,31 +21,23 @@
 /// An entry has a seat for this long after its last report: several report
 /// intervals, and longer than a restart.
 constexpr duration seat_timeout = 3s;
-/// How far ahead an entry's clock may be.
-constexpr std::int64_t max_clock_lead_ms = 1000;
 
 } // namespace
 
 void control_service::read_limits(
     const pb::entry_report& report, time_point now)
 {
-    for (const pb::stated_limit& each : report.limits())
+    const std::int64_t now_ms = true_time_ms(clock_, time_of_day(), now);
+    for (const stated_limit& each : site::read_limits(report.limits(), now_ms))
     {
-        auto statement = site::read(each);
-        if (!statement)
-            continue;
-        // A clock that is ahead must not outdate what comes after it.
-        statement->read_at_ms = std::min(
-            statement->read_at_ms,
-            true_time_ms(clock_, time_of_day(), now) + max_clock_lead_ms);
-        if (!merge(upstream_limits_, *statement))
+        if (!merge(upstream_limits_, each))
             continue;
         upstream_limits_changed_ = true;
         log_.write(
             log_line(decision::upstream_limited)
-                .with("upstream", statement->upstream.value)
-                .with("requests_per_s", statement->requests_per_s.value_or(-1))
-                .with("read_at_ms", statement->read_at_ms),
+                .with("upstream", each.upstream.value)
+                .with("requests_per_s", each.requests_per_s.value_or(-1))
+                .with("read_at_ms", each.read_at_ms),
             now);
     }
 }
--- a/src/site/site_codec.cpp
+++ b/src/site/site_codec.cpp
@@ -6,6 +6,14 @@
 namespace bergamotusher::site
 {
 
+namespace
+{
+
+/// How far ahead another node's clock may be.
+constexpr std::int64_t max_clock_lead_ms = 1000;
+
+} // namespace
+
 namespace pb = wire::site;
 
 void write(pb::move_value& to, const version_move& from)
@@ -113,6 +121,23 @@
     return to;
 }
 
+std::vector<stated_limit> read_limits(
+    const google::protobuf::RepeatedPtrField<pb::stated_limit>& from,
+    std::int64_t now_ms)
+{
+    std::vector<stated_limit> result;
+    for (const pb::stated_limit& each : from)
+    {
+        std::optional<stated_limit> value = read(each);
+        if (!value)
+            continue;
+        value->read_at_ms =
+            std::min(value->read_at_ms, now_ms + max_clock_lead_ms);
+        result.push_back(std::move(*value));
+    }
+    return result;
+}
+
 std::string encode_directory(const directory_message& message)
 {
     pb::directory_news encoded;
--- a/src/site/site_codec.hpp
+++ b/src/site/site_codec.hpp
@@ -30,6 +30,12 @@
 void write(wire::site::stated_limit& to, const stated_limit& from);
 /// Returns nothing if the limit is not a number of requests.
 std::optional<stated_limit> read(const wire::site::stated_limit& from);
+/// Leaves out what is not a limit. A statement from a clock that is ahead
+/// counts as read at most a second from now, so that it does not outdate what
+/// comes after it. `now_ms` is the time of day that the nodes agree on.
+std::vector<stated_limit> read_limits(
+    const google::protobuf::RepeatedPtrField<wire::site::stated_limit>& from,
+    std::int64_t now_ms);
 
 struct forwarded_announcement
 {
