--- /dev/null
+++ b/src/site/control_metrics.cpp
@@ -0,0 +1,95 @@
+// The metrics of the control service.
+#include "site/control_service.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+namespace bergamotusher::site
+{
+
+std::string control_service::metrics() const
+{
+    const control_status status = status_of(*control_);
+    std::ostringstream out;
+    const auto line = [&](const char* name,
+                          const char* type,
+                          const char* help,
+                          std::uint64_t value)
+    {
+        out << "# HELP bergamotusher_" << name << ' ' << help
+            << "\n# TYPE bergamotusher_" << name << ' ' << type
+            << "\nbergamotusher_" << name << ' ' << value << '\n';
+    };
+    line("control_term", "gauge", "Term of the log.", status.term);
+    line(
+        "control_leads",
+        "gauge",
+        "1 where this node leads.",
+        is_leader_ ? 1 : 0);
+    line("control_applied", "counter", "Entries applied.", status.applied);
+    line(
+        "control_commits_total",
+        "counter",
+        "Own proposals committed.",
+        status.committed);
+    line(
+        "control_unknown_total",
+        "counter",
+        "Own proposals without a clear end.",
+        status.unknown);
+    line(
+        "control_elections_total",
+        "counter",
+        "Elections begun here.",
+        status.elections);
+    line("control_syncs_total", "counter", "Syncs of the log.", status.syncs);
+    line(
+        "control_log_entries",
+        "gauge",
+        "Entries of the log held in memory.",
+        status.log_entries);
+    line(
+        "control_log_bytes",
+        "gauge",
+        "Bytes of the log held in memory.",
+        status.log_bytes);
+    line(
+        "control_snapshots_total",
+        "counter",
+        "Snapshots taken.",
+        status.snapshots_taken);
+    line(
+        "control_abandoned_confirmations_total",
+        "counter",
+        "Rounds of queries for a confirmation without a result.",
+        status.abandoned_confirmations);
+    line(
+        "site_version",
+        "gauge",
+        "Version of the site applied.",
+        site_->version);
+    line("upstreams", "gauge", "Upstreams known.", directory_.upstreams.size());
+    line(
+        "upstreams_ready",
+        "gauge",
+        "Upstreams that accept new requests.",
+        static_cast<std::uint64_t>(std::count_if(
+            directory_.upstreams.begin(),
+            directory_.upstreams.end(),
+            [](const auto& item)
+            { return item.second.value.state == upstream_state::ready; })));
+    line("entries", "gauge", "Entries known.", entries_.size());
+    line(
+        "stale_messages_total",
+        "counter",
+        "Messages dropped as of an older incarnation of their sender.",
+        status_of(*peers_).stale_incarnation);
+    line(
+        "log_lines_dropped_total",
+        "counter",
+        "Log lines dropped.",
+        log_.dropped());
+    return out.str();
+}
+
+} // namespace bergamotusher::site
