--- a/tests/control/long_history_test.cpp
+++ b/tests/control/long_history_test.cpp
@@ -103,7 +103,7 @@
     stop_all(all);
 
     // The replay takes several times the election timeout.
-    constexpr duration apply_time = 4ms;
+    static constexpr duration apply_time = 4ms;
     all.machine = [](observed& seen)
     {
         return last_command_machine(seen, apply_time);
@@ -179,7 +179,7 @@
 
     // Once for the state, four times for the log above it, twice for what is
     // kept and what is being written.
-    constexpr std::size_t max_bytes = 8 * 1024 * 1024;
+    constexpr std::size_t max_bytes = std::size_t{8} * 1024 * 1024;
     CHECK(status_of(*all.members[0]->control).log_bytes < max_bytes);
     CHECK(bytes_on_disk(data_dir(all, 0)) < max_bytes);
 
