Tests: the harness says what each try got

"four daemons serve client requests" and the version moves failed once each without a hint at the cause. A configuration that is not accepted now names every answer with its time and node, and failed requests of the background load what they got. No check is changed.

--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -307,10 +307,12 @@
 
 std::uint64_t cluster::put(const std::string& path, const std::string& body)
 {
+    using clock = std::chrono::steady_clock;
+    const auto began_at = clock::now();
     const std::string idempotency_key =
         "put-" + std::to_string(++next_put_number_);
     std::uint64_t revision = 0;
-    std::string last_response;
+    std::string answers;
     const auto try_put = [&]
     {
         for (unsigned i = 0; i < nodes_; ++i)
@@ -325,7 +327,13 @@
                 {{"If-Match", std::to_string(revision)},
                  {"Idempotency-Key",
                   idempotency_key + "-" + std::to_string(revision)}});
-            last_response = std::to_string(answer.status) + " " + answer.body;
+            const auto age =
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    clock::now() - began_at);
+            answers += "\n" + std::to_string(age.count()) +
+                       " ms: " + node_name(i) + ", If-Match " +
+                       std::to_string(revision) + ": " +
+                       std::to_string(answer.status) + " " + answer.body;
             const json value = json::parse(answer.body, nullptr, false);
             if (value.is_object() && value.contains("revision"))
                 revision = value["revision"].get<std::uint64_t>();
@@ -338,7 +346,7 @@
     };
     if (!wait_until(try_put))
         throw std::runtime_error(
-            "configuration not accepted: " + path + ": " + last_response);
+            "configuration not accepted: " + path + answers);
     return revision;
 }
 
--- a/tests/process/moves_test.cpp
+++ b/tests/process/moves_test.cpp
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <mutex>
 #include <thread>
 
 using namespace bergamotusher::tests;
@@ -46,25 +47,44 @@
     std::atomic<unsigned> succeeded{0};
     std::atomic<unsigned> failed{0};
 
+    /// What the requests that failed got, a line each.
+    std::string failures() const
+    {
+        const std::lock_guard lock(failures_mutex_);
+        return failures_;
+    }
+
 private:
+    void note_failure(const std::string& question, const client_response& got)
+    {
+        const std::lock_guard lock(failures_mutex_);
+        failures_ += question + ": " + std::to_string(got.status) + ", \"" +
+                     joined_text(got) + "\", " + got.error + '\n';
+    }
+
     void run(cluster& system, unsigned client_index)
     {
         for (unsigned question_number = 0; !stopping_; ++question_number)
         {
+            const std::string question = "q " + std::to_string(client_index) +
+                                         " " + std::to_string(question_number);
             const auto answer = stream_completion(
                 system.entries(1 + client_index % 3),
                 cluster::key,
-                "q " + std::to_string(client_index) + " " +
-                    std::to_string(question_number),
+                question,
                 6);
             const bool complete =
                 answer.done && joined_text(answer) == expected_text(6);
             ++(complete ? succeeded : failed);
+            if (!complete)
+                note_failure(question, answer);
         }
     }
 
     static constexpr unsigned client_count = 12;
     std::atomic<bool> stopping_{false};
+    mutable std::mutex failures_mutex_;
+    std::string failures_;
     std::vector<std::thread> threads_;
 };
 
@@ -143,5 +163,6 @@
     }
     load.stop();
     CHECK(load.succeeded > 100);
+    INFO(load.failures());
     CHECK(load.failed == 0);
 }
