QUOTA: what entries may be granted is replicated before it is granted

Cause: after a loss of all processes nobody knows what was used.

Now: the most that may be granted of a limit, its ceiling, is in the replicated state and rises before grants do; a new leader counts the ceiling that it found for entries whose counts are lost; entries without a grant are counted with their equal part; a large request is admitted alone only after the first window.

Two sections of "no window exceeds the operators' bound" gave the new leader a ledger that was created before the run, which no leader has and which skips the warm-up; they now replace the leader as the others do.

Open: a second loss of all within one window, see docs/design/platform.md.

--- a/src/admission/shared_limit.hpp
+++ b/src/admission/shared_limit.hpp
@@ -6,6 +6,10 @@
 // entries may use them at the same time. This suits many entries and small
 // accounts: where an equal part of the limit is less than one large request,
 // the unused part of the other entries goes to whichever entry needs it.
+//
+// Ceilings bound what may have been used if all processes lose their counts.
+// They are replicated before grants rise to them: a node that takes over then
+// counts, for entries that have started anew, what the ceiling allowed them.
 #pragma once
 
 #include "admission/window_limit.hpp"
@@ -29,6 +33,15 @@
     /// A new ledger grants nothing for this long, by when every entry has
     /// reported the grant that it holds.
     duration ledger_warm_up = 500ms;
+    /// Ceilings are multiples of this fraction of the total, so that they
+    /// change seldom.
+    double ceiling_step = 0.125;
+    /// The ceiling of an account without a recorded one, as a fraction of the
+    /// total.
+    double unrecorded_ceiling = 0.5;
+    /// A ceiling is raised while this fraction of the total is still free below
+    /// it, since that takes a round of replication.
+    double ceiling_margin = 0.2;
 };
 
 /// What an entry was granted of an account's limit.
@@ -50,6 +63,15 @@
     duration since_start,
     time_point now);
 
+/// How an entry treats an amount above all that it is allowed. Its equal part
+/// may be less than one request: without a grant it admits such a request
+/// alone, but not within its first window, when it does not know what it
+/// admitted before.
+large_amount treatment_of_large_amounts(
+    const sharing_options& options,
+    const std::optional<held_grant>& grant,
+    duration since_start);
+
 /// Amounts by account.
 using account_amounts = std::map<account_id, double>;
 
@@ -90,13 +112,45 @@
     /// Over all reports, the amounts used, and the amounts that may be used
     /// without another grant.
     account_amounts used;
+    account_amounts wanted;
     account_amounts committed;
     time_point created_at;
+    /// As replicated.
+    account_amounts ceilings;
+    /// Lower ceilings that are being replicated; they bind at once.
+    account_amounts proposed_ceilings;
+    /// The ceilings when the ledger was created, and the part of what they
+    /// allowed that entries which still run have reported.
+    account_amounts inherited_ceilings;
+    account_amounts survived;
 };
 
+/// Applies changes of ceilings; an amount of 0 removes one.
+void merge_ceilings(account_amounts& ceilings, const account_amounts& changes);
+
+/// Takes over the replicated ceilings.
+void set_ceilings(
+    use_ledger& ledger,
+    const sharing_options& options,
+    const account_amounts& ceilings,
+    time_point now);
+
+/// The ceilings that should change, to be replicated; see `merge_ceilings`.
+/// `entries` is as in `grant`.
+account_amounts find_new_ceilings(
+    const use_ledger& ledger,
+    const sharing_options& options,
+    const account_amounts& totals,
+    std::uint32_t entries,
+    time_point now);
+
+/// Replication of `ceilings` has begun.
+void propose_ceilings(use_ledger& ledger, const account_amounts& ceilings);
+
 /// Records a report of incarnation `incarnation` of `entry`.
 void record_use(
     use_ledger& ledger,
+    const sharing_options& options,
     const node_id& entry,
     std::uint64_t incarnation,
     use_report report,
--- a/src/admission/window_limit.cpp
+++ b/src/admission/window_limit.cpp
@@ -32,6 +32,11 @@
 
 } // namespace
 
+double initial_fraction(const window_bound& bound)
+{
+    return std::min(1.0, 1 / bound.usable_fraction - 1);
+}
+
 double window_total(const window_bound& bound, double rate, double burst)
 {
     return ((rate * to_seconds(bound.window) + burst) * (1 + bound.overshoot) +
@@ -46,7 +51,7 @@
     duration since_start)
 {
     const double equal_part = total / std::max<std::uint32_t>(entries, 1);
-    return since_start < bound.window ? equal_part * bound.initial_fraction
+    return since_start < bound.window ? equal_part * initial_fraction(bound)
                                       : equal_part;
 }
 
--- a/src/admission/window_limit.hpp
+++ b/src/admission/window_limit.hpp
@@ -27,12 +27,13 @@
     /// Fraction of the bound that the entries share. The rest covers entries
     /// that restart and lose their counts, and requests in transit.
     double usable_fraction = 0.8;
-    /// Fraction of its share that an entry may use within the first window
-    /// after its start: it has lost its count of what was used just before,
-    /// and what `usable_fraction` leaves free must cover that.
-    double initial_fraction = 0.35;
 };
 
+/// Fraction of its share that an entry may use within the first window after
+/// its start. It has lost its count of what was used just before: all of its
+/// share and this fraction of it together stay within the bound.
+double initial_fraction(const window_bound& bound);
+
 /// Amount that all entries together may admit in one window.
 double window_total(const window_bound& bound, double rate, double burst);
 
--- a/src/gateway/relay_admission.cpp
+++ b/src/gateway/relay_admission.cpp
@@ -41,8 +41,8 @@
         allowed,
         amount,
         now,
-        grant ? admission::large_amount::refused
-              : admission::large_amount::admitted_alone);
+        admission::treatment_of_large_amounts(
+            options_.limits, grant, now - started_at_));
     // A request that takes a large part of the grant is reported early.
     constexpr double urgent_report_fraction = 0.25;
     if (amount > urgent_report_fraction * (allowed - used_before))
--- a/src/site/control_duties.cpp
+++ b/src/site/control_duties.cpp
@@ -39,6 +39,7 @@
     judged_moves_.clear();
     limit_usage_ = {};
     limit_usage_.created_at = now;
+    set_ceilings(limit_usage_, options_.limits, site_->limit_ceilings, now);
     log_.write(
         log_line(decision::leader_changed)
             .with("leads", is_leader ? 1 : 0)
@@ -63,6 +64,7 @@
     const std::int64_t now_ms = true_time_ms(clock_, time_of_day(), now);
     judge_moves(now_ms);
     close_windows(now_ms);
+    update_ceilings(now);
     drop_expired_windows(options_.usage, usage_, now_ms);
     if (now >= next_rent_at_)
     {
--- a/src/site/control_limits.cpp
+++ b/src/site/control_limits.cpp
@@ -1,10 +1,13 @@
 // The part of the control service that passes on the limits that upstreams
-// name, and tells entries their place among those that share them.
+// name, tells entries their place among those that share them, and replicates
+// the ceilings of the accounts' limits.
 #include "base/clock.hpp"
 #include "site/control_service.hpp"
 #include "site/site_codec.hpp"
 #include "wire/site.pb.h"
 
+#include <algorithm>
+
 namespace bergamotusher::site
 {
 
@@ -55,20 +58,17 @@
 void control_service::write_seat(
     pb::control_report& report, const node_id& entry, time_point now) const
 {
-    std::uint32_t entries = 0;
     std::uint32_t seats = 0;
     std::uint32_t number = 0;
     for (const auto& [id, each] : entries_)
     {
-        if (now - each.heard_at < limit_share_timeout)
-            ++entries;
         if (now - each.heard_at >= seat_timeout)
             continue;
         ++seats;
         if (id == entry)
             number = seats;
     }
-    report.set_entries(entries);
+    report.set_entries(sharing_entries(now));
     // After a pause of this process the entries may seem to be silent, and
     // another node may lead.
     if (is_leader_ && now >= entries_known_at_ && order_fence(*control_, now))
@@ -87,4 +87,43 @@
             options_.withdrawn_limit_retention / 1ms);
 }
 
+std::uint32_t control_service::sharing_entries(time_point now) const
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        entries_.begin(),
+        entries_.end(),
+        [&](const auto& entry)
+        { return now - entry.second.heard_at < limit_share_timeout; }));
+}
+
+void control_service::update_ceilings(time_point now)
+{
+    if (is_replicating_ceilings_)
+        return;
+    const admission::account_amounts changed = find_new_ceilings(
+        limit_usage_,
+        options_.limits,
+        limit_totals_,
+        sharing_entries(now),
+        now);
+    if (changed.empty())
+        return;
+    propose_ceilings(limit_usage_, changed);
+    is_replicating_ceilings_ = true;
+    ceilings_proposed_ += changed.size();
+    propose_change(
+        encode_set_limit_ceilings(changed, time_of_day()),
+        [this, changed, term = leader_term_](
+            const std::optional<command_outcome>& outcome)
+        {
+            is_replicating_ceilings_ = false;
+            if (term != leader_term_)
+                return;
+            // The replicated state follows after this answer.
+            if (outcome && !outcome->wrong)
+                admission::merge_ceilings(limit_usage_.ceilings, changed);
+            propose_ceilings(limit_usage_, {});
+        });
+}
+
 } // namespace bergamotusher::site
--- a/src/site/control_metrics.cpp
+++ b/src/site/control_metrics.cpp
@@ -78,6 +78,16 @@
             directory_.upstreams.end(),
             [](const auto& item)
             { return item.second.value.state == upstream_state::ready; })));
+    line(
+        "limit_ceilings",
+        "gauge",
+        "Accounts with a recorded ceiling of their limit.",
+        site_->limit_ceilings.size());
+    line(
+        "limit_ceilings_proposed_total",
+        "counter",
+        "Changes of ceilings proposed here.",
+        ceilings_proposed_);
     line("entries", "gauge", "Entries known.", entries_.size());
     line(
         "stale_messages_total",
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -176,6 +176,7 @@
     const time_point now = uptime();
     if (site_->departures != before->departures)
         apply_departures(now);
+    set_ceilings(limit_usage_, options_.limits, site_->limit_ceilings, now);
     if (site_->version != before->version)
     {
         limit_totals_.clear();
@@ -379,6 +380,7 @@
         };
         record_use(
             limit_usage_,
+            options_.limits,
             message.from,
             entry.run.first_incarnation,
             {read_amounts(report.admitted()),
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -247,6 +247,11 @@
         const node_id& entry,
         time_point now) const;
     void drop_obsolete_limits(time_point now);
+    /// Replicates the ceilings that the accounts' use calls for, one round at a
+    /// time.
+    void update_ceilings(time_point now);
+    /// Number of entries that share the accounts' limits.
+    std::uint32_t sharing_entries(time_point now) const;
     void read_crashes(const wire::site::entry_report& report, time_point now);
     void
     write_crashes(wire::site::control_report& report, time_point now) const;
@@ -361,6 +366,8 @@
     /// Entries are told of `upstream_limits_` with the next tick.
     bool upstream_limits_changed_ = false;
     admission::use_ledger limit_usage_;
+    bool is_replicating_ceilings_ = false;
+    std::uint64_t ceilings_proposed_ = 0;
     /// The limits of the accounts in the site in force.
     admission::account_amounts limit_totals_;
     /// Upstreams that no control node has heard from lately, as of the leader's
--- a/src/site/site_state.cpp
+++ b/src/site/site_state.cpp
@@ -100,6 +100,12 @@
     return {std::nullopt, state.version};
 }
 
+void write(pb::account_amount& to, const account_id& account, double amount)
+{
+    to.set_account(account.value);
+    to.set_amount(amount);
+}
+
 departure read(const pb::record_departure& from, std::int64_t recorded_ms)
 {
     return {from.started_ms(), from.sequence(), from.is_gone(), recorded_ms};
@@ -121,6 +127,16 @@
     return {std::nullopt, state.version};
 }
 
+command_outcome apply_command(
+    site_state& state, const pb::set_limit_ceilings& from, std::int64_t)
+{
+    admission::account_amounts changes;
+    for (const pb::account_amount& each : from.ceilings())
+        changes[{each.account()}] = each.amount();
+    admission::merge_ceilings(state.limit_ceilings, changes);
+    return {std::nullopt, state.version};
+}
+
 command_outcome
 apply_command(site_state& state, const prepared_command& prepared)
 {
@@ -141,6 +157,8 @@
         return apply_command(state, command.close(), now_ms);
     case pb::site_command::kDepart:
         return apply_command(state, command.depart(), now_ms);
+    case pb::site_command::kLimit:
+        return apply_command(state, command.limit(), now_ms);
     case pb::site_command::BODY_NOT_SET:
         break;
     }
@@ -231,11 +249,7 @@
         pb::closed_window& closed = *to.add_windows();
         closed.set_window(window.number);
         for (const auto& [account, count] : window.counts)
-        {
-            closed.add_counts()->set_account(account.value);
-            closed.mutable_counts()->rbegin()->set_amount(
-                static_cast<double>(count));
-        }
+            write(*closed.add_counts(), account, static_cast<double>(count));
     }
     for (const auto& [id, value] : state.departures)
     {
@@ -243,6 +257,8 @@
         write(*recorded.mutable_departure(), id, value);
         recorded.set_recorded_ms(value.recorded_ms);
     }
+    for (const auto& [account, amount] : state.limit_ceilings)
+        write(*to.add_limit_ceilings(), account, amount);
     return to.SerializeAsString();
 }
 
@@ -280,6 +296,8 @@
     for (const pb::recorded_departure& each : from.departures())
         restored.departures[{each.departure().upstream()}] =
             read(each.departure(), each.recorded_ms());
+    for (const pb::account_amount& each : from.limit_ceilings())
+        restored.limit_ceilings[{each.account()}] = each.amount();
     state = std::move(restored);
     return {};
 }
@@ -323,11 +341,10 @@
     pb::site_command command = make_command(now);
     command.mutable_close()->set_window(window.number);
     for (const auto& [account, count] : window.counts)
-    {
-        pb::account_amount& amount = *command.mutable_close()->add_counts();
-        amount.set_account(account.value);
-        amount.set_amount(static_cast<double>(count));
-    }
+        write(
+            *command.mutable_close()->add_counts(),
+            account,
+            static_cast<double>(count));
     return command.SerializeAsString();
 }
 
@@ -339,6 +356,15 @@
     return command.SerializeAsString();
 }
 
+std::string encode_set_limit_ceilings(
+    const admission::account_amounts& changed, wall_time now)
+{
+    pb::site_command command = make_command(now);
+    for (const auto& [account, amount] : changed)
+        write(*command.mutable_limit()->add_ceilings(), account, amount);
+    return command.SerializeAsString();
+}
+
 command_outcome decode_result(std::string_view result)
 {
     pb::site_result from;
--- a/src/site/site_state.hpp
+++ b/src/site/site_state.hpp
@@ -1,9 +1,10 @@
 // The replicated state of a site: the configuration in force, version moves,
-// closed usage windows, and departures of upstreams. Deterministic: equal logs
-// give equal states on every replica. Commands and results are the messages of
-// src/wire/site.proto.
+// closed usage windows, departures of upstreams, and ceilings of limits.
+// Deterministic: equal logs give equal states on every replica. Commands and
+// results are the messages of src/wire/site.proto.
 #pragma once
 
+#include "admission/shared_limit.hpp"
 #include "site/departures.hpp"
 #include "site/site.hpp"
 
@@ -86,6 +87,8 @@
     std::map<service_name, version_move> moves;
     std::deque<usage_window> windows;
     departure_map departures;
+    /// See admission/shared_limit.hpp.
+    admission::account_amounts limit_ceilings;
 };
 
 /// Result of a command.
@@ -140,6 +143,9 @@
 /// `value.recorded_ms` is ignored: the departure is recorded at `now`.
 std::string encode_record_departure(
     const upstream_id& id, const departure& value, wall_time now);
+/// An amount of 0 removes the account's ceiling.
+std::string encode_set_limit_ceilings(
+    const admission::account_amounts& changed, wall_time now);
 
 /// Decodes the result of `apply`; the outcome is `malformed_message` if it
 /// cannot be parsed.
--- a/tests/admission/limit_simulation.hpp
+++ b/tests/admission/limit_simulation.hpp
@@ -68,6 +68,11 @@
     double rate = 29'000;
     duration answer_time = 5ms;
     use_ledger ledger;
+    /// The ceilings that every leader finds, and those on their way there.
+    account_amounts replicated;
+    std::optional<std::pair<time_point, account_amounts>> replicating;
+    duration replication_time = 30ms;
+    std::uint32_t rounds = 0;
     std::vector<simulated_entry> all;
     std::vector<std::pair<time_point, double>> admitted;
     std::uint32_t refused = 0;
@@ -106,7 +111,7 @@
         use.wanted[account] = std::exchange(entry.wanted, 0);
         use.sent_at = now;
         use.uptime = now - entry.started_at;
-        record_use(ledger, name(index), entry.incarnation, use, now);
+        record_use(ledger, options, name(index), entry.incarnation, use, now);
         const auto granted = grant(
             ledger, options, name(index), {{account, total()}}, entries(), now);
         if (!granted.empty())
@@ -135,6 +140,26 @@
                 ++refused;
     }
 
+    void update_ceilings()
+    {
+        if (replicating && replicating->first <= now)
+        {
+            merge_ceilings(replicated, replicating->second);
+            set_ceilings(ledger, options, replicated, now);
+            propose_ceilings(ledger, {});
+            replicating.reset();
+        }
+        if (replicating)
+            return;
+        const auto changed = find_new_ceilings(
+            ledger, options, {{account, total()}}, entries(), now);
+        if (changed.empty())
+            return;
+        ++rounds;
+        propose_ceilings(ledger, changed);
+        replicating = {now + replication_time, changed};
+    }
+
     bool try_admit(simulated_entry& entry, double amount)
     {
         const double allowed = allowed_amount(
@@ -151,7 +176,8 @@
             allowed,
             amount,
             now,
-            entry.grant ? large_amount::refused : large_amount::admitted_alone);
+            treatment_of_large_amounts(
+                options, entry.grant, now - entry.started_at));
         if (amount > 0.25 * (allowed - before))
             entry.is_report_urgent = true;
         if (!wait)
@@ -190,6 +216,7 @@
                     report(i);
                 receive_answers(all[i]);
             }
+            update_ceilings();
             for (int i = arrivals(random); i > 0; --i)
                 offer_request(all[random() % all.size()], large_request);
             drop_expired_uses(ledger, options, now);
@@ -206,8 +233,10 @@
 
     void replace_leader()
     {
+        replicating.reset();
         ledger = {};
         ledger.created_at = now;
+        set_ceilings(ledger, options, replicated, now);
     }
 
     /// Largest amount admitted in any window.
--- a/tests/admission/shared_limit_test.cpp
+++ b/tests/admission/shared_limit_test.cpp
@@ -40,7 +40,7 @@
     SECTION("while another node takes over with an empty ledger")
     {
         simulation.run(4s, 3 * simulation.rate);
-        simulation.ledger = {};
+        simulation.replace_leader();
         simulation.run(12s, 3 * simulation.rate);
     }
     SECTION("while a fifth of the entries cannot reach the leader")
@@ -52,7 +52,7 @@
     SECTION("while all entries and the leader restart")
     {
         simulation.run(4s, 3 * simulation.rate);
-        simulation.ledger = {};
+        simulation.replace_leader();
         for (std::size_t i = 0; i < simulation.all.size(); ++i)
             simulation.restart(i);
         simulation.now += 1s;
@@ -105,15 +105,64 @@
 {
     const std::size_t entries = GENERATE(2, 4, 9, 27);
     const double times_the_rate = GENERATE(5, 10, 20);
+    const duration pause = GENERATE(0s, 9s);
+    const duration down = GENERATE(200ms, 1s);
     entries_simulation simulation(entries);
-    simulation.rate = 220'000;
+    simulation.rate = GENERATE(29'000, 220'000);
     simulation.run(10s, 0.5 * simulation.rate);
-    CAPTURE(entries, times_the_rate);
-    simulation.run(1s, times_the_rate * simulation.rate);
+    CAPTURE(simulation.rate, entries, times_the_rate, pause / 1s, down / 1ms);
+    simulation.now += pause;
+    simulation.run(2s, times_the_rate * simulation.rate);
     simulation.replace_leader();
     for (std::size_t i = 0; i < simulation.all.size(); ++i)
         simulation.restart(i);
-    simulation.now += 1s;
+    simulation.now += down;
     simulation.run(12s, times_the_rate * simulation.rate);
     CHECK(simulation.max_window_use() <= simulation.operators_bound());
 }
+
+TEST_CASE(
+    "a loss of all processes does not shrink a limit that was little used")
+{
+    const std::size_t entries = GENERATE(4, 10);
+    entries_simulation simulation(entries);
+    simulation.rate = 220'000;
+    simulation.run(20s, 0.35 * simulation.rate);
+    const std::uint32_t refused_before = simulation.refused;
+    simulation.replace_leader();
+    for (std::size_t i = 0; i < simulation.all.size(); ++i)
+        simulation.restart(i);
+    simulation.now += 1s;
+    const std::size_t admitted_before = simulation.admitted.size();
+    simulation.run(10s, 0.35 * simulation.rate);
+    CAPTURE(entries, refused_before);
+    CHECK(
+        simulation.refused - refused_before <=
+        (simulation.admitted.size() - admitted_before) / 100);
+    CHECK(simulation.max_window_use() <= simulation.operators_bound());
+
+    SECTION("and ceilings change seldom")
+    {
+        const std::uint32_t rounds_before = simulation.rounds;
+        simulation.run(60s, 0.35 * simulation.rate);
+        CHECK(simulation.rounds - rounds_before <= 30);
+    }
+}
+
+TEST_CASE("grants stay below a ceiling until a higher one is replicated")
+{
+    entries_simulation simulation(4);
+    simulation.rate = 220'000;
+    simulation.replication_time = 1h;
+    simulation.run(5s, 5 * simulation.rate);
+    simulation.now += 9s;
+    const std::size_t first = simulation.admitted.size();
+    simulation.run(5s, 5 * simulation.rate);
+    double used = 0;
+    for (std::size_t i = first; i < simulation.admitted.size(); ++i)
+        used += simulation.admitted[i].second;
+    const double ceiling =
+        simulation.options.unrecorded_ceiling * simulation.total();
+    CHECK(used > 0.9 * ceiling);
+    CHECK(used <= ceiling);
+}
--- a/tests/admission/window_limit_test.cpp
+++ b/tests/admission/window_limit_test.cpp
@@ -51,13 +51,26 @@
     const window_bound bound = operator_bound();
     CHECK(
         share_of_entry(bound, 400'000, 4, 0s) ==
-        Approx(100'000 * bound.initial_fraction));
+        Approx(100'000 * initial_fraction(bound)));
     // Until the window has passed, all that the entry admitted just before
     // it stopped may still count.
     CHECK(
         share_of_entry(bound, 400'000, 4, 7'999ms) ==
-        Approx(100'000 * bound.initial_fraction));
+        Approx(100'000 * initial_fraction(bound)));
     CHECK(share_of_entry(bound, 400'000, 4, 8s) == Approx(100'000));
+
+    SECTION("which stays within the bound with all that was used before")
+    {
+        const double limit = 400'000;
+        const double most =
+            (limit * 8 + limit) * (1 + bound.overshoot) + bound.slack;
+        const double total = window_total(bound, limit, limit);
+        double used = 0;
+        for (const duration since_start : {duration(1h), duration(0s)})
+            for (int entry = 0; entry < 4; ++entry)
+                used += share_of_entry(bound, total, 4, since_start);
+        CHECK(used <= most * (1 + 1e-9));
+    }
 }
 
 TEST_CASE(
