QUOTA: what the review of the ceilings found

The equal parts are summed once, not for each account; a round replicates at most 256 changes. - A lowering whose end is unknown, or is answered before the state shows it, was lifted at once. It binds until the state shows it or a later one. - A new leader raised ceilings before the entries had reported.

Tried and left out: a start with 0.05 of the equal part and a wait of 1 s for the first grant, which covers a second loss of all within a window.

--- a/src/admission/shared_limit.cpp
+++ b/src/admission/shared_limit.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <vector>
 
 namespace bergamotusher::admission
 {
@@ -10,6 +9,9 @@
 namespace
 {
 
+/// Bounds the command that replicates changes of ceilings.
+constexpr std::size_t max_changes = 256;
+
 double amount_of(const account_amounts& amounts, const account_id& account)
 {
     const auto found = amounts.find(account);
@@ -40,11 +42,20 @@
         sum[account] += sign * amount;
 }
 
+/// Whether the entry keeps to its equal part, as far as the ledger tells. A
+/// first grant is no less than that part.
+bool was_never_granted(const recorded_use& use)
+{
+    return use.report.held.empty() && use.granted.empty();
+}
+
 void add_to_sums(use_ledger& ledger, const recorded_use& use, double sign)
 {
     add(ledger.used, use.report.used, sign);
     add(ledger.wanted, use.report.wanted, sign);
     add(ledger.committed, committed_amounts(use), sign);
+    if (was_never_granted(use))
+        add(ledger.used_without_grant, use.report.used, sign);
 }
 
 /// An amount of 0 stands for a ceiling that is not recorded.
@@ -78,11 +89,22 @@
     time_point now;
     /// Whether entries may have used amounts that no report tells.
     bool has_lost_counts = false;
-    /// The latest reports of entries that hold no grant, and so may use their
-    /// equal part.
-    std::vector<const recorded_use*> without_grant{};
+    /// The equal parts, as a fraction of a total, that entries may use without
+    /// a grant.
+    double ungranted_fraction = 0;
 };
 
+/// The fraction of a total that an entry may use without a grant.
+double ungranted_fraction(const ledger_reading& from, const recorded_use& use)
+{
+    return was_never_granted(use) ? share_of_entry(
+                                        from.options.bound,
+                                        1,
+                                        from.entries,
+                                        from.now - use.started_at)
+                                  : 0;
+}
+
 ledger_reading read_ledger(
     const use_ledger& ledger,
     const sharing_options& options,
@@ -100,9 +122,8 @@
         if (is_young && may_have_lost_its_count(
                             ledger, options, starts.begin()->second.started_at))
             reading.has_lost_counts = true;
-        if (const recorded_use& latest = starts.rbegin()->second;
-            latest.report.held.empty())
-            reading.without_grant.push_back(&latest);
+        for (const auto& [incarnation, use] : starts)
+            reading.ungranted_fraction += ungranted_fraction(reading, use);
     }
     return reading;
 }
@@ -118,30 +139,14 @@
     return std::max(0.0, ceiling - amount_of(from.ledger.survived, account));
 }
 
-/// What entries other than `except` may use of their equal parts beyond what
-/// the ledger counts as committed.
+/// What entries may use of their equal parts beyond what they reported.
 double uncounted_amount(
-    const ledger_reading& from,
-    const account_id& account,
-    double total,
-    const recorded_use* except = nullptr)
+    const ledger_reading& from, const account_id& account, double total)
 {
-    double sum = 0;
-    for (const recorded_use* each : from.without_grant)
-    {
-        if (each == except)
-            continue;
-        const double equal_part = share_of_entry(
-            from.options.bound,
-            total,
-            from.entries,
-            from.now - each->started_at);
-        const double committed = std::max(
-            amount_of(each->report.used, account),
-            amount_of(each->granted, account));
-        sum += std::max(0.0, equal_part - committed);
-    }
-    return sum;
+    return std::max(
+        0.0,
+        from.ungranted_fraction * total -
+            amount_of(from.ledger.used_without_grant, account));
 }
 
 /// The most that may be granted and assumed as used together. Beyond the total
@@ -286,6 +291,7 @@
     ledger.used.clear();
     ledger.wanted.clear();
     ledger.committed.clear();
+    ledger.used_without_grant.clear();
     for (const auto& [entry, starts] : ledger.entries)
         for (const auto& [incarnation, use] : starts)
             add_to_sums(ledger, use, 1);
@@ -307,6 +313,11 @@
     time_point now)
 {
     ledger.ceilings = ceilings;
+    for (auto i = ledger.proposed_ceilings.begin();
+         i != ledger.proposed_ceilings.end();)
+        i = amount_of(ceilings, i->first) == i->second
+                ? ledger.proposed_ceilings.erase(i)
+                : std::next(i);
     // The state of before may reach the node shortly after it takes over.
     if (now - ledger.created_at < options.ledger_warm_up / 2)
         ledger.inherited_ceilings = ceilings;
@@ -320,11 +331,16 @@
     time_point now)
 {
     account_amounts changed;
-    if (now - ledger.created_at < options.ledger_warm_up / 2)
+    const duration age = now - ledger.created_at;
+    const bool all_reported = entries <= ledger.entries.size();
+    if (age <
+        (all_reported ? options.ledger_warm_up / 2 : options.ledger_warm_up))
         return changed;
     const ledger_reading reading = read_ledger(ledger, options, entries, now);
     for (const auto& [account, total] : totals)
     {
+        if (changed.size() == max_changes)
+            break;
         const double current =
             ceiling_of(ledger.ceilings, options, account, total);
         const double fitting = fitting_ceiling(reading, account, total);
@@ -334,20 +350,26 @@
                                    amount_of(ledger.committed, account) +
                                    options.ceiling_margin / 2 * total <=
                                lower;
-        if (fitting <= current && (lower >= current || !may_lower))
+        double next = current;
+        if (fitting > current)
+            next = fitting;
+        else if (may_lower)
+            next = lower;
+        if (next == current && ledger.proposed_ceilings.count(account) == 0)
             continue;
         changed[account] =
-            fitting <= options.unrecorded_ceiling * total ? 0 : fitting;
+            next <= options.unrecorded_ceiling * total ? 0 : next;
     }
     for (const auto& [account, ceiling] : ledger.ceilings)
-        if (totals.count(account) == 0)
+        if (totals.count(account) == 0 && changed.size() < max_changes)
             changed[account] = 0;
     return changed;
 }
 
 void propose_ceilings(use_ledger& ledger, const account_amounts& ceilings)
 {
-    ledger.proposed_ceilings = ceilings;
+    for (const auto& [account, ceiling] : ceilings)
+        ledger.proposed_ceilings[account] = ceiling;
 }
 
 account_amounts grant(
@@ -365,14 +387,18 @@
     const ledger_reading reading = read_ledger(ledger, options, entries, now);
     recorded_use& use = reported->second.rbegin()->second;
     const account_amounts own_committed = committed_amounts(use);
+    const double own_part = ungranted_fraction(reading, use);
     account_amounts granted;
     for (const auto& [account, total] : totals)
     {
         const ceilings_in_force ceilings =
             find_ceilings(reading, account, total);
-        const double assumed = lost_amount(reading, account, total) +
-                               uncounted_amount(reading, account, total, &use);
         const double own = amount_of(use.report.used, account);
+        const double own_uncounted = std::max(0.0, own_part * total - own);
+        const double assumed =
+            lost_amount(reading, account, total) +
+            std::max(
+                0.0, uncounted_amount(reading, account, total) - own_uncounted);
         const double committed_by_others =
             amount_of(ledger.committed, account) -
             amount_of(own_committed, account);
@@ -391,14 +417,7 @@
                 free_below(ceilings.binding)));
         // Until the answer arrives, an entry without a grant may use its equal
         // part; the grant is no less.
-        granted[account] = std::max(
-            own + headroom,
-            use.report.held.empty() ? share_of_entry(
-                                          options.bound,
-                                          total,
-                                          reading.entries,
-                                          now - use.started_at)
-                                    : 0);
+        granted[account] = std::max(own + headroom, own_part * total);
     }
     add_to_sums(ledger, use, -1);
     raise_to(use.granted, granted);
--- a/src/admission/shared_limit.hpp
+++ b/src/admission/shared_limit.hpp
@@ -114,10 +114,13 @@
     account_amounts used;
     account_amounts wanted;
     account_amounts committed;
+    /// The part of `used` of entries that were never granted anything.
+    account_amounts used_without_grant;
     time_point created_at;
     /// As replicated.
     account_amounts ceilings;
-    /// Lower ceilings that are being replicated; they bind at once.
+    /// Ceilings whose replication began, until they are in the replicated
+    /// state. The lower of both binds.
     account_amounts proposed_ceilings;
     /// The ceilings when the ledger was created, and the part of what they
     /// allowed that entries which still run have reported.
@@ -135,7 +138,9 @@
     const account_amounts& ceilings,
     time_point now);
 
-/// The ceilings that should change, to be replicated; see `merge_ceilings`.
+/// The ceilings that should be replicated; see `merge_ceilings`. If there are
+/// many, some of them. Includes those whose earlier replication has no clear
+/// end: to be called only while none is under way.
 /// `entries` is as in `grant`.
 account_amounts find_new_ceilings(
     const use_ledger& ledger,
--- a/src/site/control_limits.cpp
+++ b/src/site/control_limits.cpp
@@ -89,41 +89,32 @@
 
 std::uint32_t control_service::sharing_entries(time_point now) const
 {
-    return static_cast<std::uint32_t>(std::count_if(
+    const auto heard = static_cast<std::uint32_t>(std::count_if(
         entries_.begin(),
         entries_.end(),
         [&](const auto& entry)
         { return now - entry.second.heard_at < limit_share_timeout; }));
+    // A node that has just taken over may not have heard of all yet.
+    const bool has_heard_long = now - leader_since_ >= limit_share_timeout;
+    return has_heard_long ? heard : std::max(heard, site_->limit_entries);
 }
 
 void control_service::update_ceilings(time_point now)
 {
     if (is_replicating_ceilings_)
         return;
+    const std::uint32_t entries = sharing_entries(now);
     const admission::account_amounts changed = find_new_ceilings(
-        limit_usage_,
-        options_.limits,
-        limit_totals_,
-        sharing_entries(now),
-        now);
-    if (changed.empty())
+        limit_usage_, options_.limits, limit_totals_, entries, now);
+    if (changed.empty() && entries == site_->limit_entries)
         return;
     propose_ceilings(limit_usage_, changed);
     is_replicating_ceilings_ = true;
     ceilings_proposed_ += changed.size();
     propose_change(
-        encode_set_limit_ceilings(changed, time_of_day()),
-        [this, changed, term = leader_term_](
-            const std::optional<command_outcome>& outcome)
-        {
-            is_replicating_ceilings_ = false;
-            if (term != leader_term_)
-                return;
-            // The replicated state follows after this answer.
-            if (outcome && !outcome->wrong)
-                admission::merge_ceilings(limit_usage_.ceilings, changed);
-            propose_ceilings(limit_usage_, {});
-        });
+        encode_set_limit_ceilings(changed, entries, time_of_day()),
+        [this](const std::optional<command_outcome>&)
+        { is_replicating_ceilings_ = false; });
 }
 
 } // namespace bergamotusher::site
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -176,7 +176,8 @@
     const time_point now = uptime();
     if (site_->departures != before->departures)
         apply_departures(now);
-    set_ceilings(limit_usage_, options_.limits, site_->limit_ceilings, now);
+    if (is_leader_)
+        set_ceilings(limit_usage_, options_.limits, site_->limit_ceilings, now);
     if (site_->version != before->version)
     {
         limit_totals_.clear();
--- a/src/site/site_state.cpp
+++ b/src/site/site_state.cpp
@@ -134,6 +134,7 @@
     for (const pb::account_amount& each : from.ceilings())
         changes[{each.account()}] = each.amount();
     admission::merge_ceilings(state.limit_ceilings, changes);
+    state.limit_entries = from.entries();
     return {std::nullopt, state.version};
 }
 
@@ -259,6 +260,7 @@
     }
     for (const auto& [account, amount] : state.limit_ceilings)
         write(*to.add_limit_ceilings(), account, amount);
+    to.set_limit_entries(state.limit_entries);
     return to.SerializeAsString();
 }
 
@@ -298,6 +300,7 @@
             read(each.departure(), each.recorded_ms());
     for (const pb::account_amount& each : from.limit_ceilings())
         restored.limit_ceilings[{each.account()}] = each.amount();
+    restored.limit_entries = from.limit_entries();
     state = std::move(restored);
     return {};
 }
@@ -357,9 +360,12 @@
 }
 
 std::string encode_set_limit_ceilings(
-    const admission::account_amounts& changed, wall_time now)
+    const admission::account_amounts& changed,
+    std::uint32_t entries,
+    wall_time now)
 {
     pb::site_command command = make_command(now);
+    command.mutable_limit()->set_entries(entries);
     for (const auto& [account, amount] : changed)
         write(*command.mutable_limit()->add_ceilings(), account, amount);
     return command.SerializeAsString();
--- a/src/site/site_state.hpp
+++ b/src/site/site_state.hpp
@@ -89,6 +89,8 @@
     departure_map departures;
     /// See admission/shared_limit.hpp.
     admission::account_amounts limit_ceilings;
+    /// Number of entries that shared the limits then.
+    std::uint32_t limit_entries = 0;
 };
 
 /// Result of a command.
@@ -145,7 +147,9 @@
     const upstream_id& id, const departure& value, wall_time now);
 /// An amount of 0 removes the account's ceiling.
 std::string encode_set_limit_ceilings(
-    const admission::account_amounts& changed, wall_time now);
+    const admission::account_amounts& changed,
+    std::uint32_t entries,
+    wall_time now);
 
 /// Decodes the result of `apply`; the outcome is `malformed_message` if it
 /// cannot be parsed.
--- a/tests/admission/limit_simulation.hpp
+++ b/tests/admission/limit_simulation.hpp
@@ -146,7 +146,6 @@
         {
             merge_ceilings(replicated, replicating->second);
             set_ceilings(ledger, options, replicated, now);
-            propose_ceilings(ledger, {});
             replicating.reset();
         }
         if (replicating)
--- a/tests/site/site_state_test.cpp
+++ b/tests/site/site_state_test.cpp
@@ -209,12 +209,13 @@
 {
     replica node;
     node.run(encode_set_limit_ceilings(
-        {{{"acme"}, 500.0}, {{"binder"}, 70.0}}, noon));
-    node.run(
-        encode_set_limit_ceilings({{{"acme"}, 0.0}, {{"cedar"}, 1.0}}, noon));
+        {{{"acme"}, 500.0}, {{"binder"}, 70.0}}, 4, noon));
+    node.run(encode_set_limit_ceilings(
+        {{{"acme"}, 0.0}, {{"cedar"}, 1.0}}, 3, noon));
     CHECK(
         node.state.limit_ceilings ==
         admission::account_amounts{{{"binder"}, 70.0}, {{"cedar"}, 1.0}});
+    CHECK(node.state.limit_entries == 3);
 }
 
 TEST_CASE("restores the whole state from a snapshot")
@@ -223,7 +224,7 @@
     node.replace(7, "7");
     node.run(encode_start_move({"llm"}, {"v2"}, 12'000, noon));
     node.run(encode_close_window({42, {{{"acme"}, 7}}}, noon));
-    node.run(encode_set_limit_ceilings({{{"acme"}, 500.0}}, noon));
+    node.run(encode_set_limit_ceilings({{{"acme"}, 500.0}}, 4, noon));
     site_state other;
     REQUIRE_FALSE(restore(other, parse, snapshot(node.state)));
     CHECK(other.applied == node.state.applied);
@@ -232,6 +233,7 @@
     CHECK(other.moves == node.state.moves);
     CHECK(other.windows[0].counts == node.state.windows[0].counts);
     CHECK(other.limit_ceilings == node.state.limit_ceilings);
+    CHECK(other.limit_entries == 4);
     CHECK(snapshot(other) == snapshot(node.state));
 
     SECTION("a malformed snapshot leaves the state unchanged")
