Site: amounts by account are read and written in one place

The report of an entry also encoded the limits of all upstreams each round, though nodes seldom lack them; it does so on need now. No change of behaviour.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -147,7 +147,6 @@
         limits_reported_at_ = now;
     }
     const std::string base_report = encode_report(now, false);
-    const std::string limits = encode_limits();
     ++report_round_;
     const bool is_urgent = draining_ || std::exchange(reports_to_all_, false);
     std::size_t index = 0;
@@ -165,7 +164,7 @@
         if (is_leader)
             send_leader_report(now);
         else
-            send_report(id, base_report, limits);
+            send_report(id, base_report);
     }
 }
 
@@ -174,30 +173,24 @@
     view_.limits_nearly_used = false;
     leader_reported_at_ = now;
     if (!leader_.empty())
-        send_report(leader_, encode_report(now, true), encode_limits());
+        send_report(leader_, encode_report(now, true));
 }
 
 void control_link::write_limit_use(pb::entry_report& report, time_point now)
 {
-    const auto write =
-        [](pb::account_amount& to, const account_id& account, double amount)
-    {
-        to.set_account(account.value);
-        to.set_amount(amount);
-    };
     for (auto& [account, usage] : view_.limit_usage)
     {
         const double admitted =
             admission::admitted_within(usage, options_.limits.bound, now);
         if (admitted > 0)
-            write(*report.add_admitted(), account, admitted);
+            site::write(*report.add_admitted(), account, admitted);
     }
     for (const auto& [account, amount] : view_.grants)
-        write(*report.add_held_grants(), account, amount);
+        site::write(*report.add_held_grants(), account, amount);
     report.set_held_since_us(
         view_.grants_reported_at.time_since_epoch().count());
     for (const auto& [account, amount] : view_.wanted)
-        write(*report.add_wanted(), account, amount);
+        site::write(*report.add_wanted(), account, amount);
     reported_wanted_ = std::exchange(view_.wanted, {});
 }
 
@@ -205,9 +198,7 @@
     const pb::control_report& report, time_point report_sent_at)
 {
     view_.grants_reported_at = report_sent_at;
-    view_.grants.clear();
-    for (const pb::account_amount& each : report.allowances())
-        view_.grants[{each.account()}] = each.amount();
+    view_.grants = site::read_amounts(report.allowances());
     view_.exhausted_limits.clear();
     for (const auto& [account, amount] : reported_wanted_)
         if (view_.grants[account] < view_.limit_usage[account].sum + amount)
@@ -270,15 +261,14 @@
     return report.SerializeAsString();
 }
 
-void control_link::send_report(
-    const node_id& to, const std::string& report, const std::string& limits)
+void control_link::send_report(const node_id& to, const std::string& report)
 {
     const auto node = nodes_.find(to);
     const bool lacks_limits =
         node != nodes_.end() && !node->second.lost &&
         node->second.limit_digest != view_.upstream_limits.digest;
     // Two encoded parts of a message are one message.
-    send_(to, lacks_limits ? report + limits : report);
+    send_(to, lacks_limits ? report + encode_limits() : report);
 }
 
 void control_link::read_limits(
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -115,11 +115,8 @@
     void read_crashes(const wire::site::control_report& report, time_point now);
     /// The part of a report that lists the limits of upstreams.
     std::string encode_limits() const;
-    /// Sends a report, with `limits` if the node knows others.
-    void send_report(
-        const node_id& to,
-        const std::string& report,
-        const std::string& limits);
+    /// Sends a report, with the limits of upstreams if the node knows others.
+    void send_report(const node_id& to, const std::string& report);
     void read_limits(
         const node_id& from,
         const wire::site::control_report& report,
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -371,14 +371,6 @@
         record_usage(
             usage_, source, each.window(), {each.account()}, each.begun());
     if (is_leader_ && report.uptime_us() > 0)
-    {
-        const auto read_amounts = [](const auto& from)
-        {
-            admission::account_amounts amounts;
-            for (const pb::account_amount& each : from)
-                amounts[{each.account()}] = each.amount();
-            return amounts;
-        };
         record_use(
             limit_usage_,
             options_.limits,
@@ -391,7 +383,6 @@
              time_point{duration(report.asked_at_us())},
              duration(report.uptime_us())},
             now);
-    }
     if (report.loads_size() > 0 || report.tallies_size() > 0)
     {
         auto& load = entry_loads_[source];
@@ -457,11 +448,7 @@
                  limit_totals_,
                  report.entries(),
                  now))
-        {
-            pb::account_amount& amount = *report.add_allowances();
-            amount.set_account(account.value);
-            amount.set_amount(granted);
-        }
+            write(*report.add_allowances(), account, granted);
     if (is_leader_)
         for (const auto& [service, speed] : prefill_speeds_)
         {
--- a/src/site/site_codec.cpp
+++ b/src/site/site_codec.cpp
@@ -138,6 +138,21 @@
     return result;
 }
 
+void write(pb::account_amount& to, const account_id& account, double amount)
+{
+    to.set_account(account.value);
+    to.set_amount(amount);
+}
+
+admission::account_amounts
+read_amounts(const google::protobuf::RepeatedPtrField<pb::account_amount>& from)
+{
+    admission::account_amounts amounts;
+    for (const pb::account_amount& each : from)
+        amounts[{each.account()}] = each.amount();
+    return amounts;
+}
+
 std::string encode_directory(const directory_message& message)
 {
     pb::directory_news encoded;
--- a/src/site/site_codec.hpp
+++ b/src/site/site_codec.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/crash_ledger.hpp"
+#include "admission/shared_limit.hpp"
 #include "routing/prefill_speed.hpp"
 #include "site/site_state.hpp"
 #include "site/stated_limits.hpp"
@@ -37,6 +38,11 @@
     const google::protobuf::RepeatedPtrField<wire::site::stated_limit>& from,
     std::int64_t now_ms);
 
+void write(
+    wire::site::account_amount& to, const account_id& account, double amount);
+admission::account_amounts read_amounts(
+    const google::protobuf::RepeatedPtrField<wire::site::account_amount>& from);
+
 struct forwarded_announcement
 {
     upstream value;
--- a/src/site/site_state.cpp
+++ b/src/site/site_state.cpp
@@ -100,12 +100,6 @@
     return {std::nullopt, state.version};
 }
 
-void write(pb::account_amount& to, const account_id& account, double amount)
-{
-    to.set_account(account.value);
-    to.set_amount(amount);
-}
-
 departure read(const pb::record_departure& from, std::int64_t recorded_ms)
 {
     return {from.started_ms(), from.sequence(), from.is_gone(), recorded_ms};
@@ -130,10 +124,8 @@
 command_outcome apply_command(
     site_state& state, const pb::set_limit_ceilings& from, std::int64_t)
 {
-    admission::account_amounts changes;
-    for (const pb::account_amount& each : from.ceilings())
-        changes[{each.account()}] = each.amount();
-    admission::merge_ceilings(state.limit_ceilings, changes);
+    admission::merge_ceilings(
+        state.limit_ceilings, read_amounts(from.ceilings()));
     state.limit_entries = from.entries();
     return {std::nullopt, state.version};
 }
@@ -298,8 +290,7 @@
     for (const pb::recorded_departure& each : from.departures())
         restored.departures[{each.departure().upstream()}] =
             read(each.departure(), each.recorded_ms());
-    for (const pb::account_amount& each : from.limit_ceilings())
-        restored.limit_ceilings[{each.account()}] = each.amount();
+    restored.limit_ceilings = read_amounts(from.limit_ceilings());
     restored.limit_entries = from.limit_entries();
     state = std::move(restored);
     return {};
