LIMIT: the digest of the stated limits follows each change

Each statement that changed a limit summed the digest over all upstreams anew: a node that starts and hears of n limits did n squared of it in one step. The digest is a sum, so that the old term is taken out and the new one added. Same digests.

--- a/src/site/stated_limits.cpp
+++ b/src/site/stated_limits.cpp
@@ -10,17 +10,16 @@
 namespace
 {
 
-/// Computes `digest` anew, after `limits` was changed.
-void update_digest(limit_board& board)
+/// What the statement adds to the digest of a board.
+std::uint64_t digest_of(const stated_limit& value)
 {
-    board.digest = 0;
-    for (const auto& [id, each] : board.limits)
-        if (each.requests_per_s)
-            board.digest += mixed_hash(
-                hash_of(id.value),
-                mixed_hash(
-                    static_cast<std::uint64_t>(each.started_ms),
-                    std::bit_cast<std::uint64_t>(*each.requests_per_s)));
+    return value.requests_per_s
+               ? mixed_hash(
+                     hash_of(value.upstream.value),
+                     mixed_hash(
+                         static_cast<std::uint64_t>(value.started_ms),
+                         std::bit_cast<std::uint64_t>(*value.requests_per_s)))
+               : 0;
 }
 
 } // namespace
@@ -42,9 +41,8 @@
     const std::optional<double> before =
         had_limit ? known.requests_per_s : std::nullopt;
     const bool is_changed = value.requests_per_s != before;
+    board.digest += digest_of(value) - digest_of(known);
     known = value;
-    if (is_changed || !had_limit)
-        update_digest(board);
     return is_changed;
 }
 
@@ -80,16 +78,17 @@
                found->second.value.state != upstream_state::gone &&
                found->second.value.started_ms == each.started_ms;
     };
-    const std::size_t dropped = std::erase_if(
+    std::erase_if(
         board.limits,
         [&](const auto& item)
         {
             const stated_limit& each = item.second;
-            return each.read_at_ms < before_ms &&
-                   (!each.requests_per_s || !is_listed(each));
+            const bool is_obsolete = each.read_at_ms < before_ms &&
+                                     (!each.requests_per_s || !is_listed(each));
+            if (is_obsolete)
+                board.digest -= digest_of(each);
+            return is_obsolete;
         });
-    if (dropped > 0)
-        update_digest(board);
 }
 
 } // namespace bergamotusher::site
