--- a/src/admission/shared_limit.cpp
+++ b/src/admission/shared_limit.cpp
@@ -69,9 +69,9 @@
     return recorded > 0 ? recorded : options.unrecorded_ceiling * total;
 }
 
-/// Whether the use of an earlier incarnation of the entry may be missing in the
-/// ledger.
-bool may_have_lost_its_count(
+/// Whether an entry that started at `started` may follow an incarnation that
+/// ran within a window before the ledger, so that no report tells its use.
+bool may_follow_a_lost_count(
     const use_ledger& ledger,
     const sharing_options& options,
     time_point started)
@@ -119,7 +119,7 @@
     reading.has_lost_counts = is_young && entries > known;
     for (const auto& [entry, starts] : ledger.entries)
     {
-        if (is_young && may_have_lost_its_count(
+        if (is_young && may_follow_a_lost_count(
                             ledger, options, starts.begin()->second.started_at))
             reading.has_lost_counts = true;
         for (const auto& [incarnation, use] : starts)
@@ -128,68 +128,82 @@
     return reading;
 }
 
-/// What the ceilings of before allowed to entries whose counts are lost.
-double
-lost_amount(const ledger_reading& from, const account_id& account, double total)
+/// What a ledger says at one moment of one account.
+struct account_reading
 {
-    if (!from.has_lost_counts)
-        return 0;
-    const double ceiling = ceiling_of(
-        from.ledger.inherited_ceilings, from.options, account, total);
-    return std::max(0.0, ceiling - amount_of(from.ledger.survived, account));
-}
+    double total = 0;
+    double used = 0;
+    double wanted = 0;
+    double committed = 0;
+    /// What the ceilings of before allowed to entries whose counts are lost.
+    double lost = 0;
+    /// What entries may use of their equal parts beyond what they reported.
+    double uncounted = 0;
+    /// The replicated ceiling.
+    double ceiling = 0;
+};
 
-/// What entries may use of their equal parts beyond what they reported.
-double uncounted_amount(
+account_reading read_account(
     const ledger_reading& from, const account_id& account, double total)
 {
-    return std::max(
+    const use_ledger& ledger = from.ledger;
+    account_reading result;
+    result.total = total;
+    result.used = amount_of(ledger.used, account);
+    result.wanted = amount_of(ledger.wanted, account);
+    result.committed = amount_of(ledger.committed, account);
+    if (from.has_lost_counts)
+        result.lost = std::max(
+            0.0,
+            ceiling_of(
+                ledger.inherited_ceilings, from.options, account, total) -
+                amount_of(ledger.survived, account));
+    result.uncounted = std::max(
         0.0,
         from.ungranted_fraction * total -
-            amount_of(from.ledger.used_without_grant, account));
+            amount_of(ledger.used_without_grant, account));
+    result.ceiling = ceiling_of(ledger.ceilings, from.options, account, total);
+    return result;
 }
 
 /// The most that may be granted and assumed as used together. Beyond the total
 /// lies what covers lost counts.
 double
-highest_ceiling(const sharing_options& options, double total, double lost)
+highest_ceiling(const sharing_options& options, const account_reading& account)
 {
-    return total + std::min(lost, initial_fraction(options.bound) * total);
+    return account.total +
+           std::min(
+               account.lost, initial_fraction(options.bound) * account.total);
 }
 
 /// The ceiling that fits what is used and wanted.
-double fitting_ceiling(
-    const ledger_reading& from, const account_id& account, double total)
+double
+fitting_ceiling(const sharing_options& options, const account_reading& account)
 {
-    const sharing_options& options = from.options;
-    const double lost = lost_amount(from, account, total);
-    double needed =
-        amount_of(from.ledger.used, account) + options.ceiling_margin * total;
+    double needed = account.used + options.ceiling_margin * account.total;
     // Grants of before there were ceilings, or under a larger limit.
-    const double committed = amount_of(from.ledger.committed, account);
-    if (committed > ceiling_of(from.ledger.ceilings, options, account, total))
-        needed = std::max(needed, committed);
-    needed += lost + uncounted_amount(from, account, total) +
-              amount_of(from.ledger.wanted, account);
-    const double step = options.ceiling_step * total;
+    if (account.committed > account.ceiling)
+        needed = std::max(needed, account.committed);
+    needed += account.lost + account.uncounted + account.wanted;
+    const double step = options.ceiling_step * account.total;
     return std::clamp(
         std::ceil(needed / step) * step,
-        options.unrecorded_ceiling * total,
-        highest_ceiling(options, total, lost));
+        options.unrecorded_ceiling * account.total,
+        highest_ceiling(options, account));
 }
 
-/// The lower ceiling that should be replicated once no more is granted;
-/// `current` if there is none.
+/// The lower ceiling that should be replicated once no more is granted; the
+/// present one if there is none.
 double lower_ceiling(
     const sharing_options& options,
-    double current,
-    double fitting,
-    double total)
+    const account_reading& account,
+    double fitting)
 {
     constexpr double steps_apart = 1.5;
-    return current - fitting > steps_apart * options.ceiling_step * total
+    return account.ceiling - fitting >
+                   steps_apart * options.ceiling_step * account.total
                ? fitting
-               : current;
+               : account.ceiling;
 }
 
 struct ceilings_in_force
@@ -202,24 +216,21 @@
 };
 
 ceilings_in_force find_ceilings(
-    const ledger_reading& from, const account_id& account, double total)
+    const ledger_reading& from,
+    const account_id& id,
+    const account_reading& account)
 {
     const sharing_options& options = from.options;
-    const use_ledger& ledger = from.ledger;
-    const double recorded =
-        ceiling_of(ledger.ceilings, options, account, total);
+    const account_amounts& proposed = from.ledger.proposed_ceilings;
     ceilings_in_force result;
-    result.binding = std::min(
-        recorded,
-        highest_ceiling(options, total, lost_amount(from, account, total)));
-    if (ledger.proposed_ceilings.count(account) > 0)
+    result.binding =
+        std::min(account.ceiling, highest_ceiling(options, account));
+    if (proposed.count(id) > 0)
         result.binding = std::min(
-            result.binding,
-            ceiling_of(ledger.proposed_ceilings, options, account, total));
+            result.binding, ceiling_of(proposed, options, id, account.total));
     result.aimed = std::min(
         result.binding,
-        lower_ceiling(
-            options, recorded, fitting_ceiling(from, account, total), total));
+        lower_ceiling(options, account, fitting_ceiling(options, account)));
     return result;
 }
 
@@ -260,8 +271,8 @@
     use_report report,
     time_point now)
 {
-    const bool is_new = ledger.entries[entry].count(incarnation) == 0;
-    recorded_use& use = ledger.entries[entry][incarnation];
+    const auto [found, is_new] = ledger.entries[entry].try_emplace(incarnation);
+    recorded_use& use = found->second;
     add_to_sums(ledger, use, -1);
     // An answer that the entry had not received when it sent the report may
     // still arrive.
@@ -271,7 +282,7 @@
     use.received_at = now;
     use.report = std::move(report);
     add_to_sums(ledger, use, 1);
-    if (is_new && !may_have_lost_its_count(ledger, options, use.started_at))
+    if (is_new && !may_follow_a_lost_count(ledger, options, use.started_at))
         add(ledger.survived, committed_amounts(use), 1);
 }
 
@@ -337,28 +348,25 @@
         (all_reported ? options.ledger_warm_up / 2 : options.ledger_warm_up))
         return changed;
     const ledger_reading reading = read_ledger(ledger, options, entries, now);
-    for (const auto& [account, total] : totals)
+    for (const auto& [id, total] : totals)
     {
         if (changed.size() == max_changes)
             break;
-        const double current =
-            ceiling_of(ledger.ceilings, options, account, total);
-        const double fitting = fitting_ceiling(reading, account, total);
-        const double lower = lower_ceiling(options, current, fitting, total);
+        const account_reading account = read_account(reading, id, total);
+        const double fitting = fitting_ceiling(options, account);
+        const double lower = lower_ceiling(options, account, fitting);
         // Leaves room for what is wanted until the next rise.
-        const bool may_lower = lost_amount(reading, account, total) +
-                                   amount_of(ledger.committed, account) +
+        const bool may_lower = account.lost + account.committed +
                                    options.ceiling_margin / 2 * total <=
                                lower;
-        double next = current;
-        if (fitting > current)
+        double next = account.ceiling;
+        if (fitting > next)
             next = fitting;
         else if (may_lower)
             next = lower;
-        if (next == current && ledger.proposed_ceilings.count(account) == 0)
+        if (next == account.ceiling && ledger.proposed_ceilings.count(id) == 0)
             continue;
-        changed[account] =
-            next <= options.unrecorded_ceiling * total ? 0 : next;
+        changed[id] = next <= options.unrecorded_ceiling * total ? 0 : next;
     }
     for (const auto& [account, ceiling] : ledger.ceilings)
         if (totals.count(account) == 0 && changed.size() < max_changes)
@@ -389,35 +397,32 @@
     const account_amounts own_committed = committed_amounts(use);
     const double own_part = ungranted_fraction(reading, use);
     account_amounts granted;
-    for (const auto& [account, total] : totals)
+    for (const auto& [id, total] : totals)
     {
-        const ceilings_in_force ceilings =
-            find_ceilings(reading, account, total);
-        const double own = amount_of(use.report.used, account);
+        const account_reading account = read_account(reading, id, total);
+        const ceilings_in_force ceilings = find_ceilings(reading, id, account);
+        const double own = amount_of(use.report.used, id);
         const double own_uncounted = std::max(0.0, own_part * total - own);
         const double assumed =
-            lost_amount(reading, account, total) +
-            std::max(
-                0.0, uncounted_amount(reading, account, total) - own_uncounted);
+            account.lost + std::max(0.0, account.uncounted - own_uncounted);
         const double committed_by_others =
-            amount_of(ledger.committed, account) -
-            amount_of(own_committed, account);
+            account.committed - amount_of(own_committed, id);
         const auto free_below = [&](double ceiling)
         {
             return std::max(0.0, ceiling - assumed - committed_by_others - own);
         };
-        const double unused = std::max(
-            0.0, ceilings.aimed - assumed - amount_of(ledger.used, account));
+        const double unused =
+            std::max(0.0, ceilings.aimed - assumed - account.used);
         const double headroom = std::max(
             std::min(
                 unused * options.unasked_fraction / reading.entries,
                 free_below(ceilings.aimed)),
             std::min(
-                amount_of(use.report.wanted, account),
+                amount_of(use.report.wanted, id),
                 free_below(ceilings.binding)));
         // Until the answer arrives, an entry without a grant may use its equal
         // part; the grant is no less.
-        granted[account] = std::max(own + headroom, own_part * total);
+        granted[id] = std::max(own + headroom, own_part * total);
     }
     add_to_sums(ledger, use, -1);
     raise_to(use.granted, granted);
--- a/src/admission/shared_limit.hpp
+++ b/src/admission/shared_limit.hpp
@@ -140,8 +140,7 @@
 
 /// The ceilings that should be replicated; see `merge_ceilings`. If there are
 /// many, some of them. Includes those whose earlier replication has no clear
-/// end: to be called only while none is under way.
-/// `entries` is as in `grant`.
+/// end: to be called only while none is under way. `entries` is as in `grant`.
 account_amounts find_new_ceilings(
     const use_ledger& ledger,
     const sharing_options& options,
