--- a/src/gateway/dialect.hpp
+++ b/src/gateway/dialect.hpp
@@ -18,6 +18,10 @@
 namespace bergamotusher::gateway
 {
 
+/// The status of an answer of another upstream than the one that was meant: the
+/// address has a new owner, and the request has not run.
+inline constexpr int status_misdirected = 421;
+
 /// A segment of a prompt, in prompt order. Requests can have leading segments
 /// in common; the last segment belongs to one request or one session.
 struct prompt_part
--- a/src/gateway/entry_view.hpp
+++ b/src/gateway/entry_view.hpp
@@ -43,8 +43,7 @@
 };
 
 /// Requests of one service at this entry. `running` and `waiting` are current
-/// values; tokens, sent and refused requests are counted
-/// since the start.
+/// values; tokens, sent and refused requests are counted since the start.
 struct service_counts
 {
     std::uint32_t running = 0;
--- a/src/gateway/relay_answers.cpp
+++ b/src/gateway/relay_answers.cpp
@@ -22,7 +22,6 @@
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 constexpr int status_server_error = 500;
-constexpr int status_misdirected = 421;
 
 bool is_success(int status)
 {
--- a/src/gateway/relay_limits.cpp
+++ b/src/gateway/relay_limits.cpp
@@ -13,8 +13,6 @@
 
 using observe::decision;
 
-constexpr int status_misdirected = 421;
-
 } // namespace
 
 limit_terms relay::current_limit_terms(time_point now) const
@@ -25,7 +23,6 @@
 void relay::read_statement(const request_ptr& req, const answer_metadata& facts)
 {
     const auto found = view_.upstreams.find(req->upstream);
-    // An answer 421 is of another upstream at the address.
     if (found == view_.upstreams.end() || req->status == status_misdirected)
         return;
     upstream_view& upstream = *found->second;
