Bench: processor time and a replica's options from the product

start_bench had a copy of the options of a site's control process, which it is there to measure, and three benches read the processor time each in their own way.

--- a/bench/consensus_bench.cpp
+++ b/bench/consensus_bench.cpp
@@ -4,11 +4,11 @@
 // of an idle node.
 //
 //   consensus_bench [seconds for each figure]
+#include "base/clock.hpp"
 #include "control/local_cluster.hpp"
 
 #include <algorithm>
 #include <cstdio>
-#include <sys/resource.h>
 #include <thread>
 
 using namespace local_cluster;
@@ -119,17 +119,6 @@
         seen.not_committed);
 }
 
-duration processor_time()
-{
-    rusage usage{};
-    ::getrusage(RUSAGE_SELF, &usage);
-    const auto to_duration = [](const timeval& value)
-    {
-        return duration(value.tv_sec * 1'000'000 + value.tv_usec);
-    };
-    return to_duration(usage.ru_utime) + to_duration(usage.ru_stime);
-}
-
 std::uint64_t bytes_sent(const cluster& nodes)
 {
     std::uint64_t bytes = 0;
@@ -143,14 +132,14 @@
 {
     // The last entries may still be on their way to the slowest replica.
     std::this_thread::sleep_for(settle_time);
-    const duration processor = processor_time();
+    const duration processor = process_processor_time();
     const std::uint64_t bytes = bytes_sent(nodes);
     std::this_thread::sleep_for(run_time);
     const double node_count = static_cast<double>(nodes.members.size());
     std::printf(
         "\nidle, a node: %.2f%% of a core, %.0f message bytes a second sent\n",
-        100 * to_seconds(processor_time() - processor) / to_seconds(run_time) /
-            node_count,
+        100 * to_seconds(process_processor_time() - processor) /
+            to_seconds(run_time) / node_count,
         static_cast<double>(bytes_sent(nodes) - bytes) / to_seconds(run_time) /
             node_count);
 }
--- a/bench/event_bench.cpp
+++ b/bench/event_bench.cpp
@@ -1,6 +1,7 @@
 // Measures the cost of event recording, metrics and dissemination: time, memory
 // and bytes of each part, one line each. Takes no arguments and starts no
 // processes.
+#include "base/clock.hpp"
 #include "daemon/events_duty.hpp"
 #include "dissemination/relay.hpp"
 #include "dissemination/subset.hpp"
@@ -12,7 +13,6 @@
 #include <filesystem>
 #include <malloc.h>
 #include <string>
-#include <sys/resource.h>
 #include <thread>
 #include <unistd.h>
 
@@ -41,16 +41,9 @@
            1e3;
 }
 
-/// Returns the processor time of the process, in microseconds.
 double processor_time_us()
 {
-    rusage usage{};
-    getrusage(RUSAGE_SELF, &usage);
-    const auto to_microseconds = [](const timeval& time)
-    {
-        return static_cast<double>(time.tv_sec) * 1e6 + time.tv_usec;
-    };
-    return to_microseconds(usage.ru_utime) + to_microseconds(usage.ru_stime);
+    return static_cast<double>(process_processor_time().count());
 }
 
 /// Returns the mean duration of one call of `work`, in microseconds.
--- a/bench/start_bench.cpp
+++ b/bench/start_bench.cpp
@@ -9,7 +9,7 @@
 #include "base/clock.hpp"
 #include "control/local_cluster.hpp"
 #include "harness/child.hpp"
-#include "site/control_service.hpp"
+#include "site/control_process.hpp"
 #include "site_json.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -25,7 +25,6 @@
 #include <optional>
 #include <sstream>
 #include <string>
-#include <sys/resource.h>
 #include <thread>
 #include <vector>
 
@@ -93,17 +92,6 @@
     return "{\"version\":" + std::to_string(version) + end;
 }
 
-duration process_processor_time()
-{
-    rusage usage{};
-    ::getrusage(RUSAGE_SELF, &usage);
-    const auto to_duration = [](const timeval& value)
-    {
-        return duration(value.tv_sec * 1'000'000 + value.tv_usec);
-    };
-    return to_duration(usage.ru_utime) + to_duration(usage.ru_stime);
-}
-
 double peak_resident_mb()
 {
     std::ifstream file("/proc/self/status");
@@ -165,20 +153,13 @@
         , timer_(loop_)
         , end_(make_configuration_end(task_.bytes))
     {
-        control_options options;
-        options.self = {task_.self};
+        site::control_settings settings;
+        settings.peer_address = parse_endpoint(task_.self).value();
         for (const std::string& seed : task_.seeds)
-            options.nodes.push_back({{seed}, seed, {}});
-        options.data_dir = task_.folder;
-        // As in the control process of a site.
-        options.limits.every_member_votes = true;
-        options.limits.wanted_voters = node_count;
-        options.confirmation_interval = 500ms;
-        options.timing = {
-            .heartbeat = 150ms,
-            .election_min = 700ms,
-            .election_max = 1200ms,
-            .lease = 550ms};
+            settings.seeds.push_back({seed});
+        settings.data_dir = task_.folder;
+        settings.may_found = true;
+        control_options options = site::make_replica_options(settings);
         options.on_long_step = [this](const long_step& step)
         {
             longest_control_step_.record(step);
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -36,4 +36,9 @@
     return duration(read_clock(CLOCK_THREAD_CPUTIME_ID));
 }
 
+duration process_processor_time()
+{
+    return duration(read_clock(CLOCK_PROCESS_CPUTIME_ID));
+}
+
 } // namespace bergamotusher
--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -16,5 +16,7 @@
 
 /// Processor time that the calling thread has used.
 duration thread_processor_time();
+/// Processor time that all threads of the process have used.
+duration process_processor_time();
 
 } // namespace bergamotusher
--- a/src/site/control_process.cpp
+++ b/src/site/control_process.cpp
@@ -84,21 +84,6 @@
     return addresses;
 }
 
-control_options make_replica_options(const control_settings& settings)
-{
-    control_options options;
-    options.self.value = to_string(settings.peer_address);
-    options.nodes = seed_addresses(settings.seeds);
-    options.may_bootstrap_cluster = settings.may_found;
-    options.data_dir = settings.data_dir;
-    options.limits.every_member_votes = true;
-    // The quorum of this many voters survives the loss of the disks.
-    options.limits.wanted_voters = 2 * settings.max_lost_disks + 1;
-    options.confirmation_interval = 500ms;
-    options.timing = replica_timing;
-    return options;
-}
-
 control_service_options make_service_options(
     const control_settings& settings,
     const control_protocol& protocol,
@@ -364,6 +349,21 @@
 
 } // namespace
 
+control_options make_replica_options(const control_settings& settings)
+{
+    control_options options;
+    options.self.value = to_string(settings.peer_address);
+    options.nodes = seed_addresses(settings.seeds);
+    options.may_bootstrap_cluster = settings.may_found;
+    options.data_dir = settings.data_dir;
+    options.limits.every_member_votes = true;
+    // The quorum of this many voters survives the loss of the disks.
+    options.limits.wanted_voters = 2 * settings.max_lost_disks + 1;
+    options.confirmation_interval = 500ms;
+    options.timing = replica_timing;
+    return options;
+}
+
 int run_control(
     const control_settings& settings,
     const control_protocol& protocol,
--- a/src/site/control_process.hpp
+++ b/src/site/control_process.hpp
@@ -63,6 +63,9 @@
     std::function<duty_calls(boost::asio::io_context& loop)> duties;
 };
 
+/// The options of the node's replica, without callbacks.
+control_options make_replica_options(const control_settings& settings);
+
 /// Runs until stopped by SIGTERM or SIGINT; `reload` as in `run_entry`.
 int run_control(
     const control_settings& settings,
