Logs: what became of each change, and what a late control node did

change_answered: the outcome of an operator's change, how long it took, what the node held and what waited with it. loop_was_late: for a second in which the event loop ticked late, processor time by thread, messages sent, received and dropped, and the changes that wait. step_was_long shows one long step, not many short ones.

No logic changes. Needed to tell the hypotheses of docs/incidents/config-unacknowledged.md apart.

--- a/src/observe/decision_log.hpp
+++ b/src/observe/decision_log.hpp
@@ -47,6 +47,7 @@
     site_changed,
     site_read,
     site_rejected,
+    change_answered,
     lease_changed,
     leader_changed,
     membership_changed,
@@ -54,6 +55,7 @@
     usage_reported,
     rent_ordered,
     step_was_long,
+    loop_was_late,
     log_dropped
 };
 
@@ -84,6 +86,7 @@
         row{decision::site_changed, "site_changed"},
         row{decision::site_read, "site_read"},
         row{decision::site_rejected, "site_rejected"},
+        row{decision::change_answered, "change_answered"},
         row{decision::lease_changed, "lease_changed"},
         row{decision::leader_changed, "leader_changed"},
         row{decision::membership_changed, "membership_changed"},
@@ -91,6 +94,7 @@
         row{decision::usage_reported, "usage_reported"},
         row{decision::rent_ordered, "rent_ordered"},
         row{decision::step_was_long, "step_was_long"},
+        row{decision::loop_was_late, "loop_was_late"},
         row{decision::log_dropped, "log_dropped"}};
 }
 
--- a/src/site/control_metrics.cpp
+++ b/src/site/control_metrics.cpp
@@ -1,4 +1,5 @@
 // The metrics of the control service.
+#include "base/clock.hpp"
 #include "site/control_service.hpp"
 
 #include <algorithm>
@@ -102,4 +103,48 @@
     return out.str();
 }
 
+control_service::work_totals control_service::work_so_far(time_point now) const
+{
+    const peers_status peers = status_of(*peers_);
+    work_totals totals;
+    totals.at = now;
+    totals.process = process_processor_time();
+    totals.loop = duration(steps_.total_us.load());
+    totals.control = duration(steps_of(*control_).total_us.load());
+    for (const peer_traffic& each : peers.sent)
+    {
+        totals.sent_messages += each.messages;
+        totals.sent_bytes += each.bytes;
+    }
+    for (const peer_traffic& each : peers.received)
+        totals.received_messages += each.messages;
+    totals.dropped_messages =
+        peers.dropped_unreachable + peers.dropped_queue_full;
+    return totals;
+}
+
+void control_service::log_lateness(time_point now)
+{
+    constexpr duration threshold = 250ms;
+    const work_totals totals = work_so_far(now);
+    const work_totals before = std::exchange(work_logged_, totals);
+    const duration longest = std::exchange(longest_tick_interval_, {});
+    if (longest < threshold || before.at == time_point{})
+        return;
+    log_.write(
+        observe::log_line(observe::decision::loop_was_late)
+            .with("longest_tick_interval_ms", longest)
+            .with("span_ms", now - before.at)
+            .with("process_processor_ms", totals.process - before.process)
+            .with("loop_processor_ms", totals.loop - before.loop)
+            .with("control_processor_ms", totals.control - before.control)
+            .with("sent", totals.sent_messages - before.sent_messages)
+            .with("sent_bytes", totals.sent_bytes - before.sent_bytes)
+            .with(
+                "received", totals.received_messages - before.received_messages)
+            .with("dropped", totals.dropped_messages - before.dropped_messages)
+            .with("proposals_waiting", std::uint64_t{pending_.size()}),
+        now);
+}
+
 } // namespace bergamotusher::site
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -294,18 +294,50 @@
 {
     propose_change(
         encode_replace(version, content, time_of_day()),
-        [this, version, done = std::move(done)](
-            std::optional<command_outcome> outcome)
-        {
-            if (outcome && outcome->wrong)
-                log_.write(
-                    log_line(decision::site_rejected)
-                        .with("version", version)
-                        .with("held", outcome->version)
-                        .with("reason", outcome->wrong->detail),
-                    uptime());
-            done(std::move(outcome));
-        });
+        logged(
+            "configuration",
+            version,
+            [this, version, done = std::move(done)](
+                std::optional<command_outcome> outcome)
+            {
+                if (outcome && outcome->wrong)
+                    log_.write(
+                        log_line(decision::site_rejected)
+                            .with("version", version)
+                            .with("held", outcome->version)
+                            .with("reason", outcome->wrong->detail),
+                        uptime());
+                done(std::move(outcome));
+            }));
+}
+
+control_service::change_callback control_service::logged(
+    std::string_view what, std::uint64_t version, change_callback done)
+{
+    return [this, what, version, done = std::move(done), began_at = uptime()](
+               std::optional<command_outcome> outcome)
+    {
+        const time_point now = uptime();
+        const control_status status = status_of(*control_);
+        log_.write(
+            log_line(decision::change_answered)
+                .with("what", what)
+                .with("version", version)
+                .with(
+                    "outcome",
+                    !outcome         ? "unknown"
+                    : outcome->wrong ? "refused"
+                                     : "accepted")
+                .with("took_ms", now - began_at)
+                .with("held", site_->version)
+                .with("waiting", std::uint64_t{pending_.size()})
+                .with("leader", status.leader.value)
+                .with("last_index", status.last_index)
+                .with("commit", status.commit)
+                .with("applied", status.applied),
+            now);
+        done(std::move(outcome));
+    };
 }
 
 void control_service::start_move(
@@ -320,7 +352,7 @@
             target,
             duration_ms,
             {true_time_ms(clock_, time_of_day(), uptime())}),
-        std::move(done));
+        logged("version move", 0, std::move(done)));
 }
 
 std::shared_ptr<const site_state> control_service::read() const
@@ -480,7 +512,9 @@
     const measured_step step(steps_, "did what was due");
     const time_point now = uptime();
     constexpr duration longest_tick = 1s;
-    if (now - std::exchange(ticked_at_, now) > longest_tick)
+    const duration interval = now - std::exchange(ticked_at_, now);
+    longest_tick_interval_ = std::max(longest_tick_interval_, interval);
+    if (interval > longest_tick)
         entries_known_at_ = now + options_.entry_warm_up;
     expire_changes(now);
     update_leadership();
@@ -501,6 +535,7 @@
     if (now - refreshes_sent_at_ >= refresh_interval)
     {
         refreshes_sent_at_ = now;
+        log_lateness(now);
         drop_obsolete_limits(now);
         share_refreshes(now);
         remove_expired(directory_, options_.retention, now);
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -220,10 +220,29 @@
 private:
     struct entry_load;
 
+    /// Totals of the process up to a moment, for `log_lateness`.
+    struct work_totals
+    {
+        time_point at;
+        duration process;
+        duration loop;
+        duration control;
+        std::uint64_t sent_messages = 0;
+        std::uint64_t sent_bytes = 0;
+        std::uint64_t received_messages = 0;
+        std::uint64_t dropped_messages = 0;
+    };
+    work_totals work_so_far(time_point now) const;
+
     void tick();
     void schedule();
     void on_state_changed();
     void propose_change(std::string command, change_callback done);
+    /// Calls `done`, and logs what became of an operator's change.
+    change_callback
+    logged(std::string_view what, std::uint64_t version, change_callback done);
+    /// Logs what the process did since the last call, if the loop was late.
+    void log_lateness(time_point now);
     void on_proposal_answer(const proposal_answer& answer);
     /// Answers changes whose time is over, as when the replica is not open.
     void expire_changes(time_point now);
@@ -332,6 +351,9 @@
     /// entry.
     time_point ticked_at_;
     time_point entries_known_at_;
+    /// The longest time between two ticks since `work_logged_`.
+    duration longest_tick_interval_{};
+    work_totals work_logged_;
     /// The encoded directory, and the digest for which it was made.
     std::string full_directory_;
     std::uint64_t full_directory_digest_ = 0;
