Peers: messages of agreement go before those to entries

Cause, as far as it is this one: the peers duty emptied the queue of one sender before it looked at the next, so that an append or a vote waited behind sites and directories for 91 entries. It takes the next message of the first sender that has one now; the control duty's is created first.

--- a/src/daemon/peers_duty.cpp
+++ b/src/daemon/peers_duty.cpp
@@ -428,6 +428,15 @@
     }
 }
 
+/// Takes the next message of the first sender that has one.
+bool pop_first(peers_duty& duty, outgoing_message& message)
+{
+    return std::any_of(
+        duty.senders.begin(),
+        duty.senders.end(),
+        [&](const auto& sender) { return sender->outgoing.pop(message); });
+}
+
 void transmit_queued(peers_duty& duty)
 {
     std::uint64_t ignored = 0;
@@ -435,9 +444,8 @@
         ::read(duty.wake_fd, &ignored, sizeof(ignored));
     duty.wake_pending.store(false);
     outgoing_message message;
-    for (const auto& sender : duty.senders)
-        while (sender->outgoing.pop(message))
-            transmit(duty, std::move(message));
+    while (pop_first(duty, message))
+        transmit(duty, std::move(message));
 }
 
 /// Waits for input on any socket, or until waiting messages are to be tried
--- a/src/daemon/peers_duty.hpp
+++ b/src/daemon/peers_duty.hpp
@@ -162,7 +162,8 @@
     peers_duty& duty, wire::message_kind kind, message_handler handler);
 
 /// Creates a queue into the duty for one sending thread, of `capacity`
-/// messages. Call only before `start`. The sender lives as long as the duty.
+/// messages. Messages of a sender that was created earlier go first. Call only
+/// before `start`. The sender lives as long as the duty.
 peers_sender& make_sender(peers_duty& duty, std::size_t capacity);
 
 /// Binds the address and starts the thread. Error: `invalid_setting` if the
