CONFIG: a change that the state holds is acknowledged without a commit

Cause: a configuration that is sent again is proposed again and waits for a commit of its own, also where a higher version, or the same, is in force. While the core is busy each attempt adds a whole configuration to the log that it is behind with.

A node whose state holds the version, or a higher one, acknowledges at once. The state consists of committed entries, and its version never falls, so the answer needs no confirmation that the state is the newest. Other content under the version held is refused by the log, as before.

--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -292,6 +292,10 @@
 void control_service::replace(
     std::uint64_t version, const std::string& content, change_callback done)
 {
+    // An operator that got no answer sends the same again, to any node.
+    if (holds(*site_, version, content))
+        return logged("configuration", version, std::move(done))(
+            command_outcome{std::nullopt, site_->version});
     propose_change(
         encode_replace(version, content, time_of_day()),
         logged(
--- a/src/site/site_state.cpp
+++ b/src/site/site_state.cpp
@@ -25,18 +25,14 @@
     const pb::replace_site& from,
     const prepared_command& prepared)
 {
-    if (from.version() < state.version)
+    if (holds(state, from.version(), from.content()))
         return {std::nullopt, state.version};
     if (from.version() == state.version)
-    {
-        if (state.content && *state.content == from.content())
-            return {std::nullopt, state.version};
         return rejection(
             state,
             error_kind::revision_conflict,
             "version " + std::to_string(from.version()) +
                 " is held with another content");
-    }
     if (const auto* wrong = std::get_if<failure>(&prepared.replacement))
         return {*wrong, state.version};
     state.version = from.version();
@@ -218,6 +214,14 @@
     return prepared;
 }
 
+bool holds(
+    const site_state& state, std::uint64_t version, std::string_view content)
+{
+    return version < state.version ||
+           (version == state.version && state.content &&
+            *state.content == content);
+}
+
 std::string
 apply(site_state& state, std::uint64_t index, const prepared_command& command)
 {
--- a/src/site/site_state.hpp
+++ b/src/site/site_state.hpp
@@ -131,6 +131,11 @@
 
 // Encoders of commands. `now` is the proposer's time of day.
 
+/// Whether a replacement by `version` would be accepted and change nothing:
+/// the state has a higher version, or has this one with the same content.
+bool holds(
+    const site_state& state, std::uint64_t version, std::string_view content);
+
 std::string
 encode_replace(std::uint64_t version, std::string_view content, wall_time now);
 std::string encode_start_move(
