CONFIG: departures that come together are one change of the log

Cause: each notice of a departure was a change of its own, with some thirty messages at the leader; a release or a reclaim brings tens of them within a second, at nine nodes. What is not confirmed in 0.9 s is said again to another node, and was proposed again though the first may be in the log: work that grows because it is late, with the operators' changes behind it.

A node gathers departures in a queue and has one change under way. One that is under way or waits is not added again; a notice is acknowledged when the state includes it, by whichever change. So the log gets at most one change of departures for each node and commit, whatever number leaves.

--- a/src/site/control_directory.cpp
+++ b/src/site/control_directory.cpp
@@ -123,21 +123,69 @@
 {
     if (is_recorded(site_->departures, id, value))
         return done(true);
+    departure_notices_.push_back(
+        {id, value, std::move(done), uptime() + options_.change_timeout});
+    enqueue(departures_, id, value);
+    propose_departures();
+}
+
+void control_service::propose_departures()
+{
+    const departure_map proposed = start_change(departures_);
+    if (proposed.empty())
+        return;
     propose_change(
-        encode_record_departure(id, value, time_of_day()),
-        [this, id, done = std::move(done)](
-            const std::optional<command_outcome>& outcome)
+        encode_record_departures(proposed, time_of_day()),
+        [this, proposed](const std::optional<command_outcome>& outcome)
         {
-            const bool recorded = outcome && !outcome->wrong;
-            if (!recorded)
-                log_.write(
-                    log_line(decision::departure_not_recorded)
-                        .with("upstream", id.value),
-                    uptime());
-            done(recorded);
+            end_change(departures_);
+            // Otherwise the next tick proposes those that still wait: a change
+            // that is refused at once would be proposed again without end.
+            if (!outcome || outcome->wrong)
+                return;
+            acknowledge_departures(proposed);
+            propose_departures();
         });
 }
 
+void control_service::acknowledge_departures(const departure_map& recorded)
+{
+    const auto first_recorded = std::stable_partition(
+        departure_notices_.begin(),
+        departure_notices_.end(),
+        [&](const departure_notice& notice)
+        { return !is_recorded(recorded, notice.upstream, notice.value); });
+    const std::vector<departure_notice> answered(
+        std::make_move_iterator(first_recorded),
+        std::make_move_iterator(departure_notices_.end()));
+    departure_notices_.erase(first_recorded, departure_notices_.end());
+    for (const departure_notice& notice : answered)
+        notice.done(true);
+}
+
+void control_service::retry_departures(time_point now)
+{
+    const auto first_expired = std::stable_partition(
+        departure_notices_.begin(),
+        departure_notices_.end(),
+        [&](const departure_notice& notice) { return notice.deadline > now; });
+    const std::vector<departure_notice> expired(
+        std::make_move_iterator(first_expired),
+        std::make_move_iterator(departure_notices_.end()));
+    departure_notices_.erase(first_expired, departure_notices_.end());
+    for (const departure_notice& notice : expired)
+    {
+        log_.write(
+            log_line(decision::departure_not_recorded)
+                .with("upstream", notice.upstream.value),
+            now);
+        notice.done(false);
+    }
+    for (const departure_notice& notice : departure_notices_)
+        enqueue(departures_, notice.upstream, notice.value);
+    propose_departures();
+}
+
 void control_service::apply_departures(time_point now)
 {
     std::vector<upstream> changed;
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -175,7 +175,10 @@
         return;
     const time_point now = uptime();
     if (site_->departures != before->departures)
+    {
         apply_departures(now);
+        acknowledge_departures(site_->departures);
+    }
     if (is_leader_)
         set_ceilings(limit_usage_, options_.limits, site_->limit_ceilings, now);
     if (site_->version != before->version)
@@ -521,6 +524,7 @@
     if (interval > longest_tick)
         entries_known_at_ = now + options_.entry_warm_up;
     expire_changes(now);
+    retry_departures(now);
     update_leadership();
     merge_held_announcements(now);
     announce_confirmation(now);
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -15,6 +15,7 @@
 #include "daemon/control_duty.hpp"
 #include "daemon/peers_duty.hpp"
 #include "observe/decision_log.hpp"
+#include "site/departure_queue.hpp"
 #include "site/entry_sync.hpp"
 #include "site/move_policy.hpp"
 #include "site/rent_policy.hpp"
@@ -252,8 +253,16 @@
     /// Merges the announcements that arrived before this node's state was
     /// confirmed.
     void merge_held_announcements(time_point now);
+    /// Acknowledges the notice of a departure once it is recorded.
     void record_departure(
         const upstream_id& id, const departure& value, acknowledgement done);
+    /// Proposes the departures that wait, unless others are under way.
+    void propose_departures();
+    /// Acknowledges the notices whose departure `recorded` includes.
+    void acknowledge_departures(const departure_map& recorded);
+    /// Answers the notices whose time is over, and proposes the others again if
+    /// their change was not recorded.
+    void retry_departures(time_point now);
     /// Applies the recorded departures to the directory.
     void apply_departures(time_point now);
     void read_limits(const wire::site::entry_report& report, time_point now);
@@ -335,6 +344,17 @@
     };
     std::map<std::uint64_t, pending_change> pending_;
 
+    departure_queue departures_;
+    /// The notice of a departure that is not answered yet.
+    struct departure_notice
+    {
+        upstream_id upstream;
+        departure value;
+        acknowledgement done;
+        time_point deadline;
+    };
+    std::vector<departure_notice> departure_notices_;
+
     shared_clock clock_;
     upstream_directory directory_;
     /// Upstreams that announced themselves as ready before this node's state
--- a/src/site/departures.cpp
+++ b/src/site/departures.cpp
@@ -41,9 +41,19 @@
 void record_departure(
     departure_map& recorded, const upstream_id& id, const departure& value)
 {
-    if (!is_recorded(recorded, id, value))
-        recorded[id] = value;
-    remove_outdated(recorded, value.recorded_ms);
+    record_departures(recorded, {{id, value}});
+}
+
+void record_departures(departure_map& recorded, const departure_map& values)
+{
+    std::int64_t newest_ms = 0;
+    for (const auto& [id, value] : values)
+    {
+        if (!is_recorded(recorded, id, value))
+            recorded[id] = value;
+        newest_ms = std::max(newest_ms, value.recorded_ms);
+    }
+    remove_outdated(recorded, newest_ms);
 }
 
 bool is_outdated(const departure_map& recorded, const upstream& announcement)
--- a/src/site/departures.hpp
+++ b/src/site/departures.hpp
@@ -49,6 +49,8 @@
 /// Records a departure unless `is_recorded`, and removes outdated ones.
 void record_departure(
     departure_map& recorded, const upstream_id& id, const departure& value);
+/// The same for several departures.
+void record_departures(departure_map& recorded, const departure_map& values);
 
 /// Whether the announcement was sent before its upstream left.
 bool is_outdated(const departure_map& recorded, const upstream& announcement);
--- a/src/site/site_state.cpp
+++ b/src/site/site_state.cpp
@@ -117,6 +117,16 @@
     return {std::nullopt, state.version};
 }
 
+command_outcome apply_command(
+    site_state& state, const pb::record_departures& from, std::int64_t now_ms)
+{
+    departure_map departures;
+    for (const pb::record_departure& each : from.departures())
+        departures[{each.upstream()}] = read(each, now_ms);
+    record_departures(state.departures, departures);
+    return {std::nullopt, state.version};
+}
+
 command_outcome apply_command(
     site_state& state, const pb::set_limit_ceilings& from, std::int64_t)
 {
@@ -146,6 +156,8 @@
         return apply_command(state, command.close(), now_ms);
     case pb::site_command::kDepart:
         return apply_command(state, command.depart(), now_ms);
+    case pb::site_command::kDepartures:
+        return apply_command(state, command.departures(), now_ms);
     case pb::site_command::kLimit:
         return apply_command(state, command.limit(), now_ms);
     case pb::site_command::BODY_NOT_SET:
@@ -346,11 +358,12 @@
     return command.SerializeAsString();
 }
 
-std::string encode_record_departure(
-    const upstream_id& id, const departure& value, wall_time now)
+std::string
+encode_record_departures(const departure_map& departures, wall_time now)
 {
     pb::site_command command = make_command(now);
-    write(*command.mutable_depart(), id, value);
+    for (const auto& [id, value] : departures)
+        write(*command.mutable_departures()->add_departures(), id, value);
     return command.SerializeAsString();
 }
 
--- a/src/site/site_state.hpp
+++ b/src/site/site_state.hpp
@@ -148,8 +148,8 @@
 std::string encode_advance_move(const version_move& to, wall_time now);
 std::string encode_close_window(const usage_window& window, wall_time now);
 /// `value.recorded_ms` is ignored: the departure is recorded at `now`.
-std::string encode_record_departure(
-    const upstream_id& id, const departure& value, wall_time now);
+std::string
+encode_record_departures(const departure_map& departures, wall_time now);
 /// An amount of 0 removes the account's ceiling.
 std::string encode_set_limit_ceilings(
     const admission::account_amounts& changed,
--- a/tests/control/control_node.hpp
+++ b/tests/control/control_node.hpp
@@ -124,6 +124,33 @@
                      { service_.withdraw(id, started_ms, number, done); });
     }
 
+    /// Announces that each of the upstreams is gone, in one step of the loop.
+    void withdraw_each(
+        const std::vector<upstream_id>& ids,
+        const site::control_service::acknowledgement& done)
+    {
+        for (const upstream_id& id : ids)
+            service_.withdraw(id, 1000, 1, done);
+    }
+
+    /// The same; returns how many notices were acknowledged.
+    std::size_t withdraw_all(const std::vector<upstream_id>& ids)
+    {
+        std::size_t answered = 0;
+        std::size_t acknowledged = 0;
+        withdraw_each(
+            ids,
+            [&](bool accepted)
+            {
+                ++answered;
+                acknowledged += accepted ? 1 : 0;
+            });
+        for (int i = 0; i < 200 && answered < ids.size(); ++i)
+            run_for(10ms);
+        REQUIRE(answered == ids.size());
+        return acknowledged;
+    }
+
     std::string ready_upstreams()
     {
         run_for(300ms);
--- a/tests/site/departures_test.cpp
+++ b/tests/site/departures_test.cpp
@@ -90,7 +90,7 @@
     const configuration_parser parse = nullptr;
     site_state state;
     const std::string command =
-        encode_record_departure(id, {10, 5, true, 0}, wall_time{700});
+        encode_record_departures({{id, {10, 5, true, 0}}}, wall_time{700});
     CHECK_FALSE(
         decode_result(apply(state, 1, prepare(parse, state.version, command)))
             .wrong);
