Site: upstreams that leave together and versions in succession are told together

Updates of upstreams wait 50 ms behind the last ones, those that leave too (2 s are allowed); of a departure in the state only the leader tells, the others repair by digest; reports on a version are sent at once or left to the tick that sends missing sites.

--- a/src/site/control_directory.cpp
+++ b/src/site/control_directory.cpp
@@ -84,10 +84,7 @@
             .with("leaves_in_ms", announcement.leaves_in)
             .with("from", "upstream"),
         now);
-    if (announcement.state == upstream_state::ready)
-        broadcast_soon(announcement);
-    else
-        broadcast({announcement});
+    broadcast_soon(announcement, now);
 }
 
 void control_service::withdraw(
@@ -105,7 +102,7 @@
                 .with("state", "gone")
                 .with("from", "upstream"),
             now);
-        broadcast({directory_.upstreams.at(id).value});
+        broadcast_soon(directory_.upstreams.at(id).value, now);
     }
     const auto known = directory_.upstreams.find(id);
     if (started_ms == 0)
@@ -211,8 +208,11 @@
             now);
         changed.push_back(std::move(value));
     }
-    if (!changed.empty())
-        broadcast(changed);
+    // The node that was told of a departure has told it to all; the leader also
+    // does, in case that node was lost.
+    if (is_leader_)
+        for (const upstream& each : changed)
+            broadcast_soon(each, now);
 }
 
 void control_service::broadcast(const std::vector<upstream>& updates)
@@ -224,13 +224,17 @@
         send(id, wire::site_directory, body);
 }
 
-void control_service::broadcast_soon(const upstream& update)
+void control_service::broadcast_soon(const upstream& update, time_point now)
 {
     const bool is_scheduled = !pending_updates_.empty();
     pending_updates_[update.id] = update;
     if (is_scheduled)
         return;
-    flush_timer_.expires_after(options_.announcement_batch_interval);
+    const duration wait =
+        updates_sent_at_ + options_.announcement_batch_interval - now;
+    if (wait <= duration::zero())
+        return flush_updates();
+    flush_timer_.expires_after(wait);
     flush_timer_.async_wait(
         [this](const boost::system::error_code& error)
         {
@@ -241,6 +245,7 @@
 
 void control_service::flush_updates()
 {
+    updates_sent_at_ = uptime();
     std::vector<upstream> updates;
     updates.reserve(pending_updates_.size());
     for (auto& [id, each] : std::exchange(pending_updates_, {}))
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -210,14 +210,18 @@
     if (site_->version == before->version && site_->moves == before->moves)
         return;
     // The leader tells entries at once; other nodes tell them in reply to their
-    // next report.
-    if (status_of(*control_).role == consensus::role::leader)
+    // next report. Of versions in quick succession, ticks tell the newest.
+    const bool is_due =
+        site_->moves != before->moves ||
+        now - entries_told_at_ >= options_.entry_sync.site_interval;
+    if (is_due && status_of(*control_).role == consensus::role::leader)
         tell_entries();
 }
 
 void control_service::tell_entries()
 {
     last_told_entry_ = {};
+    entries_told_at_ = uptime();
     if (!std::exchange(is_telling_entries_, true))
         tell_next_entries();
 }
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -118,8 +118,8 @@
     /// Time a new leader waits before it performs a duty that an earlier leader
     /// may still be performing.
     duration duty_handover_delay = 3s;
-    /// Changes that add an upstream or alter a ready one are told together at
-    /// this interval: at a start hundreds announce themselves within a second.
+    /// Changes of upstreams are told together at this interval: hundreds may
+    /// announce themselves, or leave, within a second.
     duration announcement_batch_interval = 50ms;
     /// A node that has run for this long has heard of every live upstream, and
     /// so may tell entries which ones no longer exist.
@@ -285,7 +285,9 @@
     write_crashes(wire::site::control_report& report, time_point now) const;
     /// Tells the other control nodes and all entries.
     void broadcast(const std::vector<upstream>& updates);
-    void broadcast_soon(const upstream& update);
+    /// The same, together with the updates that follow within
+    /// `announcement_batch_interval` of the last ones.
+    void broadcast_soon(const upstream& update, time_point now);
     void flush_updates();
     /// Sends the announcements without changes to the other control nodes, so
     /// that all of them know which upstreams are alive.
@@ -363,8 +365,9 @@
     /// Unchanged upstreams announced to this node since the last refresh was
     /// sent to the other control nodes.
     std::map<upstream_id, upstream> refreshed_upstreams_;
-    /// Changes that are told with the next flush.
+    /// Changes that are told with the next flush, and when the last were.
     std::map<upstream_id, upstream> pending_updates_;
+    time_point updates_sent_at_;
     boost::asio::steady_timer flush_timer_;
     time_point started_at_;
     /// When the tick last ran, and from when on this node has heard of every
@@ -383,6 +386,8 @@
     /// The entry to which `tell_next_entries` sent last.
     node_id last_told_entry_;
     bool is_telling_entries_ = false;
+    /// When all entries were last told.
+    time_point entries_told_at_;
     bool was_confirmed_ = false;
     std::map<node_id, known_entry> entries_;
     time_point refreshes_sent_at_;
--- a/tests/control/overtaken_configuration_test.cpp
+++ b/tests/control/overtaken_configuration_test.cpp
@@ -1,5 +1,6 @@
 // Guards against an operator that gets no answer for a change that is in force
-// already, because each time that it is sent again it needs a commit of its own.
+// already, because each time that it is sent again it needs a commit of its
+// own.
 #include "control/control_node.hpp"
 
 #include <catch2/catch.hpp>
