Limits: the leader's reports do not grow with the number of entries

Cause: an entry reports early where a request takes a quarter of what its grant leaves, at most ten times a second. Each report that is answered with grants is work over all entries besides, so the load grows with their square.

Entries share the leader's time: each reports at most once in 4 ms times the number of entries, between 0.1 and 1 s; an early report takes the place of a regular one. So the leader gets at most 250 reports a second, or one a second of each entry beyond 250 of them.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -32,6 +32,16 @@
     return std::max<std::uint64_t>(1, (nodes + at_once - 1) / at_once);
 }
 
+/// The least time between two reports to the leader of one of `entries`.
+duration leader_report_interval(
+    const control_link_options& options, std::uint32_t entries)
+{
+    return std::clamp(
+        entries * options.leader_time_per_report,
+        options.min_leader_report_interval,
+        options.max_leader_report_interval);
+}
+
 } // namespace
 
 control_link::control_link(
@@ -104,7 +114,8 @@
     if (now < next_report_at_)
     {
         if (view_.limits_nearly_used &&
-            now - leader_reported_at_ >= options_.min_leader_report_interval)
+            now - leader_reported_at_ >=
+                leader_report_interval(options_, view_.entries))
             send_leader_report(now);
         return;
     }
@@ -134,8 +145,11 @@
 void control_link::send_reports(time_point now)
 {
     next_report_at_ =
-        now + (ready(now) || draining_ ? options_.report_interval
-                                       : options_.unready_report_interval);
+        now + (ready(now) || draining_
+                   ? std::max(
+                         options_.report_interval,
+                         leader_report_interval(options_, view_.entries))
+                   : options_.unready_report_interval);
     if (std::exchange(view_.crashes.is_report_due, false))
     {
         reports_to_all_ = true;
@@ -161,10 +175,13 @@
         if (node.last_report_at == time_point{})
             node.last_reply_at = now;
         node.last_report_at = now;
-        if (is_leader)
-            send_leader_report(now);
-        else
+        if (!is_leader)
             send_report(id, base_report);
+        // An early report to the leader takes the place of this one.
+        else if (
+            is_urgent || now - leader_reported_at_ >=
+                             leader_report_interval(options_, view_.entries))
+            send_leader_report(now);
     }
 }
 
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -48,6 +48,12 @@
     /// Minimum time between two reports to the leader while an account's limit
     /// is nearly used up.
     duration min_leader_report_interval = 100ms;
+    /// Time between two reports of any entries to the leader, which has a
+    /// fraction of a core: the more entries there are, the less often each of
+    /// them reports.
+    duration leader_time_per_report = 4ms;
+    /// Callers are not told of entries that have not reported for 1.5 s.
+    duration max_leader_report_interval = 1000ms;
     admission::sharing_options limits;
     /// A control node that has not replied for this long is considered lost.
     duration node_timeout = 2s;
--- a/tests/gateway/control_link_test.cpp
+++ b/tests/gateway/control_link_test.cpp
@@ -94,3 +94,55 @@
     CHECK(first.sent.front().run_id() == first.sent.back().run_id());
     CHECK(first.sent.front().run_id() != second.sent.front().run_id());
 }
+
+// Guards against a leader that is busy with early reports alone: at an entry
+// among many, nearly every request takes a large part of its grant.
+TEST_CASE("reports on limits leave the leader time, however many entries share "
+          "them")
+{
+    linked_entry linked;
+    time_point now = uptime();
+    const auto count_reports = [&](std::uint32_t entries)
+    {
+        wire::site::control_report report;
+        report.set_asked_at_us(linked.sent.back().asked_at_us());
+        report.set_confirmed_age_us(0);
+        report.set_site_version(1);
+        report.set_site("1");
+        report.set_leader("c1");
+        report.set_is_leader(true);
+        report.set_entries(entries);
+        linked.link.on_control_report({"c1"}, report.SerializeAsString());
+        const auto run_for = [&](duration span)
+        {
+            const std::size_t before = linked.sent.size();
+            for (const time_point end = now + span; now < end; now += 10ms)
+            {
+                linked.entry.view.limits_nearly_used = true;
+                linked.link.tick(now);
+            }
+            return linked.sent.size() - before;
+        };
+        constexpr duration warm_up = 1s;
+        constexpr duration span = 3s;
+        run_for(warm_up);
+        return static_cast<double>(run_for(span) - 1) / to_seconds(span);
+    };
+    constexpr double max_reports_per_s = 250;
+
+    SECTION("few entries report early")
+    {
+        CHECK(count_reports(4) > 8);
+    }
+    SECTION("as many as on the largest deployment of today")
+    {
+        CHECK(91 * count_reports(91) < max_reports_per_s);
+    }
+    SECTION("as many as the system has to carry")
+    {
+        // Callers are not told of an entry that has not reported for 1.5 s.
+        const double rate = count_reports(403);
+        CHECK(rate > 1 / 1.5 - 0.01);
+        CHECK(rate <= 1);
+    }
+}
