Upstreams: bytes without end do not fill the memory of a daemon

Reported by other operators: a faulty worker sent bytes that were no answer, without end; the process that read them ran out of memory, and the requests of other callers ended with it. It happens in bergamotusherd.

Shown by real processes: 100 callers of a service whose upstreams send ten kinds of endless answers, beside callers of a sound one.

Cause: the parser has no limit on the header of a chunk and on trailers, and waits for their end in a buffer without one; each body may have 8 MiB, and nothing bounds the bodies of all attempts together.

What is read and not parsed has 64 KiB now, and the bodies and events of all attempts 64 MiB together; beyond it the largest is given up.

--- a/src/daemon/upstreams_duty.cpp
+++ b/src/daemon/upstreams_duty.cpp
@@ -8,11 +8,13 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <limits>
 #include <map>
 #include <optional>
 #include <sstream>
 #include <unordered_map>
+#include <utility>
 
 namespace bergamotusher
 {
@@ -27,6 +29,9 @@
 {
 
 constexpr std::size_t read_size = std::size_t{16} << 10;
+/// Bytes that may be read and not parsed yet. The parser waits for the end of a
+/// line, of a chunk's header or of the trailers without a limit of its own.
+constexpr std::size_t max_unparsed_bytes = std::size_t{64} << 10;
 constexpr auto congestion_retry_interval = 1ms;
 constexpr int too_many_requests = 429;
 constexpr int service_unavailable = 503;
@@ -55,6 +60,8 @@
     upstreams_counters counters;
     std::unordered_map<attempt_id, std::shared_ptr<attempt>> attempts;
     std::map<std::string, std::vector<stream_ptr>> idle;
+    /// Of all attempts.
+    std::size_t buffered_bytes = 0;
 };
 
 namespace
@@ -141,9 +148,27 @@
     void cancel()
     {
         ended_ = true;
+        drop_buffered();
         close();
     }
 
+    std::size_t buffered_bytes() const
+    {
+        return buffered_bytes_;
+    }
+
+    void fail(attempt_failure reason, const std::string& detail)
+    {
+        if (ended_)
+            return;
+        ended_ = true;
+        duty_->to_serving.send(
+            attempt_failed{dispatch_.attempt, reason, status_, detail});
+        drop_buffered();
+        close();
+        unregister();
+    }
+
 private:
     void connect()
     {
@@ -284,7 +309,37 @@
             return;
         if (body_.size() > duty_->options.body_bytes)
             return fail(attempt_failure::malformed, "the answer is too large");
-        read_body();
+        count_buffered();
+        if (!ended_)
+            read_body();
+    }
+
+    /// Counts what this attempt buffers, and gives up the attempts that buffer
+    /// the most while all together buffer too much.
+    void count_buffered()
+    {
+        const std::size_t bytes = body_.size() + events_.buffer.size();
+        duty_->buffered_bytes += bytes - buffered_bytes_;
+        buffered_bytes_ = bytes;
+        while (duty_->buffered_bytes > duty_->options.buffered_bytes)
+        {
+            const auto largest = std::max_element(
+                duty_->attempts.begin(),
+                duty_->attempts.end(),
+                [](const auto& a, const auto& b) {
+                    return a.second->buffered_bytes() <
+                           b.second->buffered_bytes();
+                });
+            const auto given_up = largest->second;
+            given_up->fail(
+                attempt_failure::malformed,
+                "too many bytes of answers are buffered");
+        }
+    }
+
+    void drop_buffered()
+    {
+        duty_->buffered_bytes -= std::exchange(buffered_bytes_, 0);
     }
 
     void take_events(std::string_view bytes)
@@ -318,6 +373,7 @@
         if (streaming_)
             finished.pieces = next_token_;
         duty_->to_serving.send(std::move(finished));
+        drop_buffered();
         keep_connection();
         unregister();
     }
@@ -353,17 +409,6 @@
         fail(reason, error.message());
     }
 
-    void fail(attempt_failure reason, const std::string& detail)
-    {
-        if (ended_)
-            return;
-        ended_ = true;
-        duty_->to_serving.send(
-            attempt_failed{dispatch_.attempt, reason, status_, detail});
-        close();
-        unregister();
-    }
-
     void report(serving_input input)
     {
         duty_->to_serving.send(std::move(input));
@@ -386,11 +431,13 @@
     stream_ptr stream_;
     asio::steady_timer retry_timer_;
     std::string request_bytes_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_unparsed_bytes};
     std::optional<http::response_parser<http::buffer_body>> parser_;
     std::vector<char> chunk_ = std::vector<char>(read_size);
     engine::stream_parser events_;
     std::string body_;
+    /// As counted in the state of the duty.
+    std::size_t buffered_bytes_ = 0;
     std::string content_type_;
     std::uint64_t next_token_ = 0;
     int status_ = 0;
--- a/src/daemon/upstreams_duty.hpp
+++ b/src/daemon/upstreams_duty.hpp
@@ -24,6 +24,9 @@
     std::uint32_t header_bytes = 16 * 1024;
     /// Maximum size of a response body that is not a stream.
     std::size_t body_bytes = std::size_t{8} << 20;
+    /// Bytes of incomplete bodies and events that are buffered over all
+    /// attempts; the largest is given up beyond it.
+    std::size_t buffered_bytes = std::size_t{64} << 20;
 };
 
 /// Counters that any thread may read.
--- a/tests/fakes/common/fake_http.cpp
+++ b/tests/fakes/common/fake_http.cpp
@@ -75,6 +75,11 @@
         return send("0\r\n\r\n");
     }
 
+    bool send_bytes(const std::string& bytes) override
+    {
+        return send(bytes);
+    }
+
 private:
     // Peeks at the socket first: a write after the peer closed the connection
     // may still succeed.
--- a/tests/fakes/common/fake_http.hpp
+++ b/tests/fakes/common/fake_http.hpp
@@ -39,6 +39,8 @@
     virtual bool send_chunk(const std::string& text) = 0;
     /// Sends the last chunk.
     virtual bool end_chunked() = 0;
+    /// Sends bytes as they are.
+    virtual bool send_bytes(const std::string& bytes) = 0;
 };
 
 using request_handler =
--- a/tests/fakes/fake_desk.cpp
+++ b/tests/fakes/fake_desk.cpp
@@ -2,6 +2,7 @@
 // as a line to a file that is synced before the response, so that a test finds
 // orders that were executed twice.
 #include "common/announcer.hpp"
+#include "common/endless_answer.hpp"
 #include "common/fake_http.hpp"
 
 #include <cxxopts.hpp>
@@ -31,6 +32,8 @@
     bool refuse = false;
 };
 
+const std::string endless_path = "/endless/";
+
 desk_options options;
 std::mutex record_mutex;
 std::atomic<int> executed_orders{0};
@@ -75,8 +78,24 @@
     writer.send_response(201, "application/json", body.dump(), id);
 }
 
+/// Answers as the faulty upstream that the path names, until the connection is
+/// closed.
+void send_endless(const fake_request& request, response_writer& writer)
+{
+    const std::string name = request.path.substr(endless_path.size());
+    const std::string id = header_field(request, "x-request-id");
+    for (const endless_answer& each :
+         endless_answers("X-Request-Id: " + id + "\r\n"))
+        if (each.name == name && writer.send_bytes(each.begin))
+            while (writer.send_bytes(each.block))
+            {
+            }
+}
+
 void handle(const fake_request& request, response_writer& writer)
 {
+    if (request.path.rfind(endless_path, 0) == 0)
+        return send_endless(request, writer);
     ++open_requests;
     if (request.method == "POST" && request.path.rfind("/orders", 0) == 0)
         place_order(request, writer);
