HTTP: a chunk header or trailers without end are refused

The server kept what came for up to 10 s; it answers 400 once 64 KiB cannot be parsed.

Test: daemon: a server rejects requests beyond its limits..., chunk header without end, failed before (no 400). The client has no test of its own.

--- a/src/daemon/http_client.cpp
+++ b/src/daemon/http_client.cpp
@@ -17,6 +17,10 @@
 namespace
 {
 
+/// Bytes that may be read and not parsed yet: the parser does not limit the
+/// header of a chunk or the trailers.
+constexpr std::size_t max_unparsed_bytes = std::size_t{64} << 10;
+
 class pending_call : public std::enable_shared_from_this<pending_call>
 {
 public:
@@ -85,7 +89,7 @@
     http_call call_;
     std::function<void(http_reply)> on_complete_;
     http::request<http::string_body> request_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_unparsed_bytes};
     http::response<http::string_body> answer_;
 };
 
--- a/src/daemon/http_server.cpp
+++ b/src/daemon/http_server.cpp
@@ -353,6 +353,9 @@
     }
 
     static constexpr std::size_t read_size = std::size_t{8} << 10;
+    /// Bytes that may be read and not parsed yet: the parser does not limit the
+    /// header of a chunk or the trailers.
+    static constexpr std::size_t max_unparsed_bytes = std::size_t{64} << 10;
 
     beast::tcp_stream stream_;
     const http_limits& limits_;
@@ -362,7 +365,7 @@
     std::shared_ptr<void> server_state_;
     asio::io_context& loop_;
     asio::steady_timer receive_timer_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_unparsed_bytes};
     std::optional<http::request_parser<http::string_body>> parser_;
     std::function<void()> on_disconnect_;
     std::string queued_bytes_;
--- a/tests/daemon/http_server_test.cpp
+++ b/tests/daemon/http_server_test.cpp
@@ -121,6 +121,14 @@
         CHECK(contains(answer, "413"));
         CHECK(contains(answer, "body_too_large"));
     }
+    SECTION("chunk header without end")
+    {
+        const auto answer = running.exchange(
+            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4;a=" +
+            std::string(100'000, 'x'));
+        CHECK(contains(answer, "400"));
+        CHECK(contains(answer, "malformed_request"));
+    }
     SECTION("bytes that are not HTTP")
     {
         const auto answer = running.exchange("\x16\x03\x01 hello\r\n\r\n");
