--- a/tests/soak/upstream_set.cpp
+++ b/tests/soak/upstream_set.cpp
@@ -1,5 +1,7 @@
 #include "soak/upstream_set.hpp"
 
+#include "common/endless_answer.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <cstdio>
@@ -48,6 +50,26 @@
            " X\r\nBergamotusher-Attempt-Id: " + attempt + "\r\n";
 }
 
+/// Answers without end, as the path names it, until the connection is closed.
+/// Returns false if the path names no such answer.
+bool write_endless(
+    const std::string& path,
+    const std::string& fields,
+    const response_writer& write)
+{
+    const auto found = path.find(endless_suffix);
+    if (found == std::string::npos)
+        return false;
+    const std::string name =
+        path.substr(found + std::string(endless_suffix).size());
+    for (const auto& each : bergamotusher::fakes::endless_answers(fields))
+        if (each.name == name && write(each.begin))
+            while (write(each.block))
+            {
+            }
+    return true;
+}
+
 std::string empty_response(
     int status, const std::string& attempt, const std::string& header_lines)
 {
@@ -151,6 +173,12 @@
             on_other_execution_(execution);
         else
             history_.record_execution(execution);
+        const std::string seal = "Bergamotusher-Server-Seal: s-" + id + "\r\n";
+        if (write_endless(
+                execution.path,
+                "Bergamotusher-Attempt-Id: " + attempt + "\r\n" + seal,
+                write))
+            return;
         const bool is_stream = request.target().find("/chat/") == 0;
         const auto stated = stated_work(execution.path);
         if (stated)
@@ -161,8 +189,7 @@
         else
             std::this_thread::sleep_for(std::chrono::milliseconds(
                 std::hash<std::string>{}(attempt) % max_work_ms));
-        const std::string head = response_head(200, attempt) +
-                                 "Bergamotusher-Server-Seal: s-" + id + "\r\n";
+        const std::string head = response_head(200, attempt) + seal;
         if (!is_stream)
         {
             const std::string body = answer_body(request_kind::order, attempt);
--- a/tests/soak/upstream_set.hpp
+++ b/tests/soak/upstream_set.hpp
@@ -24,6 +24,8 @@
 /// A request whose path ends in this and a number takes that many milliseconds;
 /// those of a stream are spread over its events.
 inline constexpr const char* work_time_suffix = "?work-ms=";
+/// A request whose path ends in this and a name gets that endless answer.
+inline constexpr const char* endless_suffix = "?endless=";
 
 class upstream_set
 {
