--- a/tests/control/departure_herd_test.cpp
+++ b/tests/control/departure_herd_test.cpp
@@ -7,6 +7,19 @@
 using namespace bergamotusher;
 using control_tests::control_node;
 
+namespace
+{
+
+std::vector<upstream_id> many_upstreams()
+{
+    std::vector<upstream_id> ids(300);
+    for (std::size_t i = 0; i < ids.size(); ++i)
+        ids[i].value = "u" + std::to_string(i);
+    return ids;
+}
+
+} // namespace
+
 TEST_CASE("departures that come together take few changes of the log")
 {
     constexpr std::uint64_t max_changes = 10;
@@ -21,9 +34,7 @@
 
     SECTION("of many upstreams at once")
     {
-        std::vector<upstream_id> leaving;
-        for (int i = 0; i < 300; ++i)
-            leaving.push_back({"u" + std::to_string(i)});
+        const std::vector<upstream_id> leaving = many_upstreams();
         CHECK(node.withdraw_all(leaving) == leaving.size());
         CHECK(changes() <= max_changes);
 
@@ -42,9 +53,7 @@
     }
     SECTION("and a configuration sent behind them is acknowledged")
     {
-        std::vector<upstream_id> leaving;
-        for (int i = 0; i < 300; ++i)
-            leaving.push_back({"u" + std::to_string(i)});
+        const std::vector<upstream_id> leaving = many_upstreams();
         std::size_t acknowledged = 0;
         node.withdraw_each(leaving, [&](bool done) { acknowledged += done; });
         CHECK(node.replace(7, "7"));
--- a/tests/fakes/common/endless_answer.cpp
+++ b/tests/fakes/common/endless_answer.cpp
@@ -5,7 +5,7 @@
 
 std::vector<endless_answer> endless_answers(const std::string& fields)
 {
-    constexpr std::size_t block_size = 16 * 1024;
+    constexpr std::size_t block_size = std::size_t{16} * 1024;
     const std::string filler(block_size, 'x');
     const auto repeated = [&](const std::string& text)
     {
