Limits: other control nodes hear an entry as often as before

Found in the last read of the change: the longer interval was that of all reports, and other nodes get every second one, so that with more than 187 entries callers asking such a node would have been told of none now and then (1.5 s without a report). Only the leader's reports are rarer now: with 91 entries and fewer nothing changes.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -145,11 +145,8 @@
 void control_link::send_reports(time_point now)
 {
     next_report_at_ =
-        now + (ready(now) || draining_
-                   ? std::max(
-                         options_.report_interval,
-                         leader_report_interval(options_, view_.entries))
-                   : options_.unready_report_interval);
+        now + (ready(now) || draining_ ? options_.report_interval
+                                       : options_.unready_report_interval);
     if (std::exchange(view_.crashes.is_report_due, false))
     {
         reports_to_all_ = true;
@@ -177,7 +174,8 @@
         node.last_report_at = now;
         if (!is_leader)
             send_report(id, base_report);
-        // An early report to the leader takes the place of this one.
+        // An early report to the leader takes the place of this one, and the
+        // leader of many entries gets one in some rounds only.
         else if (
             is_urgent || now - leader_reported_at_ >=
                              leader_report_interval(options_, view_.entries))
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -52,8 +52,9 @@
     /// fraction of a core: the more entries there are, the less often each of
     /// them reports.
     duration leader_time_per_report = 4ms;
-    /// Callers are not told of entries that have not reported for 1.5 s.
-    duration max_leader_report_interval = 1000ms;
+    /// Two rounds of reports: callers are not told of entries that have not
+    /// reported for 1.5 s.
+    duration max_leader_report_interval = 750ms;
     admission::sharing_options limits;
     /// A control node that has not replied for this long is considered lost.
     duration node_timeout = 2s;
