Limits: a request that waits for a grant is reported sooner

Cause: made all early reports rare, those on requests that wait with those in advance. Entries take half of the time, 2 ms for each of them, while a request waits for the answer: at most 500 reports a second at the leader.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -32,12 +32,15 @@
     return std::max<std::uint64_t>(1, (nodes + at_once - 1) / at_once);
 }
 
-/// The least time between two reports to the leader of one of `entries`.
+/// The least time between two reports of this entry to the leader.
 duration leader_report_interval(
-    const control_link_options& options, std::uint32_t entries)
+    const control_link_options& options, const entry_view& view)
 {
+    const duration leader_time = view.is_grant_awaited
+                                     ? options.leader_time_per_awaited_grant
+                                     : options.leader_time_per_report;
     return std::clamp(
-        entries * options.leader_time_per_report,
+        view.entries * leader_time,
         options.min_leader_report_interval,
         options.max_leader_report_interval);
 }
@@ -113,9 +116,9 @@
     }
     if (now < next_report_at_)
     {
-        if (view_.limits_nearly_used &&
+        if ((view_.limits_nearly_used || view_.is_grant_awaited) &&
             now - leader_reported_at_ >=
-                leader_report_interval(options_, view_.entries))
+                leader_report_interval(options_, view_))
             send_leader_report(now);
         return;
     }
@@ -178,7 +181,7 @@
         // leader of many entries gets one in some rounds only.
         else if (
             is_urgent || now - leader_reported_at_ >=
-                             leader_report_interval(options_, view_.entries))
+                             leader_report_interval(options_, view_))
             send_leader_report(now);
     }
 }
@@ -186,6 +189,7 @@
 void control_link::send_leader_report(time_point now)
 {
     view_.limits_nearly_used = false;
+    view_.is_grant_awaited = false;
     leader_reported_at_ = now;
     if (!leader_.empty())
         send_report(leader_, encode_report(now, true));
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -52,6 +52,8 @@
     /// fraction of a core: the more entries there are, the less often each of
     /// them reports.
     duration leader_time_per_report = 4ms;
+    /// The same while a request waits for a grant.
+    duration leader_time_per_awaited_grant = 2ms;
     /// Two rounds of reports: callers are not told of entries that have not
     /// reported for 1.5 s.
     duration max_leader_report_interval = 750ms;
--- a/src/gateway/entry_view.hpp
+++ b/src/gateway/entry_view.hpp
@@ -82,6 +82,8 @@
     std::set<account_id> exhausted_limits;
     /// The leader should receive a report before the regular one is due.
     bool limits_nearly_used = false;
+    /// A request waits for the answer to the next report to the leader.
+    bool is_grant_awaited = false;
     /// The limits that upstreams name, and this entry's place among those that
     /// share them.
     site::limit_board upstream_limits;
--- a/src/gateway/relay_admission.cpp
+++ b/src/gateway/relay_admission.cpp
@@ -53,7 +53,10 @@
     if (!req->waiting_for_grant_since)
         wanted += amount;
     if (wait_for_grant(req))
+    {
+        view_.is_grant_awaited = true;
         return false;
+    }
     reject(
         req,
         error_kind::rate_limited,
--- a/tests/gateway/control_link_test.cpp
+++ b/tests/gateway/control_link_test.cpp
@@ -102,6 +102,7 @@
 {
     linked_entry linked;
     time_point now = uptime();
+    bool is_grant_awaited = false;
     const auto count_reports = [&](std::uint32_t entries)
     {
         wire::site::control_report report;
@@ -119,6 +120,7 @@
             for (const time_point end = now + span; now < end; now += 10ms)
             {
                 linked.entry.view.limits_nearly_used = true;
+                linked.entry.view.is_grant_awaited = is_grant_awaited;
                 linked.link.tick(now);
             }
             return linked.sent.size() - before;
@@ -138,6 +140,13 @@
     {
         CHECK(91 * count_reports(91) < max_reports_per_s);
     }
+    SECTION("and twice as many while requests wait for grants")
+    {
+        is_grant_awaited = true;
+        const double rate = 91 * count_reports(91);
+        CHECK(rate > 1.5 * max_reports_per_s);
+        CHECK(rate < 2 * max_reports_per_s);
+    }
     SECTION("as many as the system has to carry")
     {
         // Callers are not told of an entry that has not reported for 1.5 s.
