One hash for digests, one bound for what is not parsed

Found in the last read of the change: the directory's digest mixed its shares by a copy of what base/hash.hpp offers, beside a weaker combination of its own; mixed_hash serves both, as for the limits that upstreams name. The bound on unparsed bytes stood in three files. The soak's test of endless answers left its folder behind.

--- a/src/daemon/http_client.cpp
+++ b/src/daemon/http_client.cpp
@@ -1,5 +1,7 @@
 #include "daemon/http_client.hpp"
 
+#include "daemon/http_buffer.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -17,10 +19,6 @@
 namespace
 {
 
-/// Bytes that may be read and not parsed yet: the parser does not limit the
-/// header of a chunk or the trailers.
-constexpr std::size_t max_unparsed_bytes = std::size_t{64} << 10;
-
 class pending_call : public std::enable_shared_from_this<pending_call>
 {
 public:
--- a/src/daemon/http_server.cpp
+++ b/src/daemon/http_server.cpp
@@ -1,5 +1,7 @@
 #include "daemon/http_server.hpp"
 
+#include "daemon/http_buffer.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -353,10 +355,6 @@
     }
 
     static constexpr std::size_t read_size = std::size_t{8} << 10;
-    /// Bytes that may be read and not parsed yet: the parser does not limit the
-    /// header of a chunk or the trailers.
-    static constexpr std::size_t max_unparsed_bytes = std::size_t{64} << 10;
-
     beast::tcp_stream stream_;
     const http_limits& limits_;
     http_counters& counters_;
--- a/src/daemon/upstreams_duty.cpp
+++ b/src/daemon/upstreams_duty.cpp
@@ -1,6 +1,7 @@
 #include "daemon/upstreams_duty.hpp"
 
 #include "adapters/engine.hpp"
+#include "daemon/http_buffer.hpp"
 #include "daemon/outbox.hpp"
 #include "settings/settings.hpp"
 
@@ -29,9 +30,6 @@
 {
 
 constexpr std::size_t read_size = std::size_t{16} << 10;
-/// Bytes that may be read and not parsed yet. The parser waits for the end of a
-/// line, of a chunk's header or of the trailers without a limit of its own.
-constexpr std::size_t max_unparsed_bytes = std::size_t{64} << 10;
 constexpr auto congestion_retry_interval = 1ms;
 constexpr int too_many_requests = 429;
 constexpr int service_unavailable = 503;
--- a/src/site/upstream_directory.cpp
+++ b/src/site/upstream_directory.cpp
@@ -1,5 +1,7 @@
 #include "site/upstream_directory.hpp"
 
+#include "base/hash.hpp"
+
 #include <algorithm>
 #include <tuple>
 
@@ -9,37 +11,22 @@
 namespace
 {
 
-std::size_t hash_combine(std::size_t seed, std::size_t value)
-{
-    constexpr std::size_t golden_ratio = 0x9e3779b97f4a7c15U;
-    return seed ^ (value + golden_ratio + (seed << 6U) + (seed >> 2U));
-}
-
-/// Spreads each bit over all others (the finalizer of SplitMix64). The shares
-/// of upstreams are combined by XOR, in which equal differences would cancel.
-std::uint64_t mix(std::uint64_t value)
-{
-    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
-    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
-    return value ^ (value >> 31U);
-}
-
-/// Covers what nodes must agree on, not when or how often it was announced.
+/// Covers what nodes must agree on, not when or how often it was announced. The
+/// shares of upstreams are combined by XOR, in which equal differences would
+/// cancel, so that each bit has to depend on all that is covered.
 std::uint64_t digest_of(const upstream& value)
 {
     if (value.state == upstream_state::gone)
         return 0;
-    const std::hash<std::string> text;
-    std::size_t digest = text(value.id.value);
-    digest = hash_combine(digest, text(value.service.value));
-    digest = hash_combine(digest, text(value.address));
-    digest = hash_combine(digest, text(value.domain.value));
-    digest = hash_combine(digest, text(value.version.value));
-    digest = hash_combine(digest, value.slots);
-    digest = hash_combine(digest, value.reclaimable ? 1 : 0);
-    digest = hash_combine(digest, static_cast<std::size_t>(value.state));
-    return mix(
-        hash_combine(digest, static_cast<std::size_t>(value.started_ms)));
+    std::uint64_t digest = hash_of(value.id.value);
+    digest = mixed_hash(digest, hash_of(value.service.value));
+    digest = mixed_hash(digest, hash_of(value.address));
+    digest = mixed_hash(digest, hash_of(value.domain.value));
+    digest = mixed_hash(digest, hash_of(value.version.value));
+    digest = mixed_hash(digest, value.slots);
+    digest = mixed_hash(digest, value.reclaimable ? 1 : 0);
+    digest = mixed_hash(digest, static_cast<std::uint64_t>(value.state));
+    return mixed_hash(digest, static_cast<std::uint64_t>(value.started_ms));
 }
 
 /// Replaces the share of one upstream in the directory's digest.
--- a/tests/soak/endless_answer_test.cpp
+++ b/tests/soak/endless_answer_test.cpp
@@ -13,6 +13,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <cstdlib>
 #include <filesystem>
 #include <mutex>
 #include <thread>
@@ -140,4 +141,6 @@
     CHECK(
         bergamotusher::tests::peak_memory(process) <
         bergamotusher::tests::entry_memory);
+    if (faults.empty() && std::getenv("BERGAMOTUSHER_KEEP_LOGS") == nullptr)
+        std::filesystem::remove_all(folder);
 }
