Tests: sound callers without a pause do not meet their own limit

Cause: they send without a pause and exceed the 5,000 requests a second that an account has before its first lease. A refusal above an account's limit is right, so the test gives the account an ample one; that every sound request is answered 200, whole, is checked as before.

--- a/tests/process/endless_answer_test.cpp
+++ b/tests/process/endless_answer_test.cpp
@@ -1,11 +1,13 @@
 // Guards against an upstream that sends bytes without end: the entry kept all
 // of them until it ran out of memory, and the requests of other callers ended
 // with it.
+#include "base/digest.hpp"
 #include "common/endless_answer.hpp"
 #include "harness/cluster.hpp"
 #include "harness/memory.hpp"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <atomic>
 #include <mutex>
@@ -18,6 +20,7 @@
 
 constexpr unsigned callers_per_kind = 10;
 constexpr unsigned sound_callers = 6;
+constexpr int sound_requests_per_s = 1'000'000;
 
 client_response
 get(const cluster& system, const std::string& key, const std::string& path)
@@ -42,6 +45,14 @@
     system.put(
         "/v1/config/services/endless-desk",
         R"({"kind":"plain","default_class":"brief"})");
+    // Sound callers send without a pause, and must not meet their own limit.
+    system.put(
+        "/v1/config/accounts/binder",
+        nlohmann::json{
+            {"key_digest", bergamotusher::sha256_hex(cluster::key)},
+            {"requests_per_second", sound_requests_per_s},
+            {"tokens_per_second", 10'000'000}}
+            .dump());
     system.start_desk("desk-1");
     system.start_desk("endless-1", {"--service=endless-desk"});
     system.start_desk("endless-2", {"--service=endless-desk"});
