Evacuated failure domains: ordered in the log, known to every entry before it sends

Cause: nothing knew an evacuation; both orders ended as an unknown call (404).

Entries leave these upstreams out of all choices; renting counts and orders in the other domains.

Ruled out: answering a resent order from the node's own state, which may be older than an order that another node has acknowledged.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -1,6 +1,7 @@
 #include "gateway/control_link.hpp"
 
 #include "base/clock.hpp"
+#include "site/evacuation_log.hpp"
 #include "site/site_codec.hpp"
 #include "wire/site.pb.h"
 
@@ -420,6 +421,19 @@
         now);
 }
 
+void control_link::install_evacuations(
+    const node_id& from, const pb::control_report& report, time_point now)
+{
+    const site::evacuations before = view_.evacuated;
+    if (!adopt_newer(
+            view_.evacuated,
+            site::read_evacuations(
+                report.evacuated_domains(), report.evacuation_revision())))
+        return;
+    log_evacuations(log_, view_.evacuated, before, from.value, now);
+    relay_.on_upstreams_changed();
+}
+
 void control_link::on_control_report(
     const node_id& from, std::string_view bytes)
 {
@@ -430,6 +444,9 @@
     control_node& node = nodes_[from];
     node.last_reply_at = now;
     record_clock_sample(clock_, from, {report.time_of_day_ms()}, now);
+    // Before the lease is renewed: an entry that starts, or was cut off, sends
+    // nothing until it knows the newest evacuations.
+    install_evacuations(from, report, now);
     if (!report.site().empty())
         install_site(report.site_version(), report.site(), now);
     const std::uint64_t held = view_.site ? view_.site->value.version : 0;
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -126,6 +126,10 @@
     std::string encode_limits() const;
     /// Sends a report, with the limits of upstreams if the node knows others.
     void send_report(const node_id& to, const std::string& report);
+    void install_evacuations(
+        const node_id& from,
+        const wire::site::control_report& report,
+        time_point now);
     void read_limits(
         const node_id& from,
         const wire::site::control_report& report,
--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -410,6 +410,11 @@
         counts.limited);
     write_metric(
         "upstreams", "gauge", "Upstreams known.", view_.upstreams.size());
+    write_metric(
+        "evacuated_domains",
+        "gauge",
+        "Failure domains whose upstreams get no request.",
+        view_.evacuated.domains.size());
     write_metric(
         "site_version",
         "gauge",
--- a/src/gateway/entry_view.cpp
+++ b/src/gateway/entry_view.cpp
@@ -67,7 +67,8 @@
         known_upstream->limit =
             limit_of(view.upstream_limits, id, each.value.started_ms);
         current_addresses.insert(each.value.address);
-        view.by_service[each.value.service].push_back(known_upstream.get());
+        if (view.evacuated.domains.count(each.value.domain) == 0)
+            view.by_service[each.value.service].push_back(known_upstream.get());
     }
     std::vector<std::string> removed_addresses;
     std::set_difference(
--- a/src/gateway/entry_view.hpp
+++ b/src/gateway/entry_view.hpp
@@ -65,7 +65,9 @@
     bool awaiting_directory = false;
     /// One for each upstream of the directory whose state is not `gone`.
     std::map<upstream_id, std::unique_ptr<upstream_view>> upstreams;
+    /// Without those in evacuated failure domains, which get no request.
     std::map<service_name, std::vector<upstream_view*>> by_service;
+    site::evacuations evacuated;
     std::map<service_name, site::version_move> moves;
     /// Number of entries that share the limits, including this one.
     std::uint32_t entries = 1;
--- a/src/site/control_duties.cpp
+++ b/src/site/control_duties.cpp
@@ -158,6 +158,7 @@
     for (const service& each : site_->current->value.services)
     {
         service_demand demand;
+        demand.evacuated = site_->evacuated.domains;
         const auto move = site_->moves.find(each.name);
         demand.is_moving = move != site_->moves.end() &&
                            move->second.state == move_state::active;
--- a/src/site/control_metrics.cpp
+++ b/src/site/control_metrics.cpp
@@ -69,6 +69,11 @@
         "gauge",
         "Version of the site applied.",
         site_->version);
+    line(
+        "evacuated_domains",
+        "gauge",
+        "Failure domains whose upstreams get no request.",
+        site_->evacuated.domains.size());
     line("upstreams", "gauge", "Upstreams known.", directory_.upstreams.size());
     line(
         "upstreams_ready",
--- a/src/site/control_process.cpp
+++ b/src/site/control_process.cpp
@@ -92,6 +92,7 @@
     control_service_options options;
     options.self.value = to_string(settings.peer_address);
     options.seeds = settings.seeds;
+    options.domains = settings.domains;
     options.announcement_interval = settings.announcement_interval;
     options.duty_handover_delay = settings.duty_handover_delay;
     options.usage = settings.usage;
--- a/src/site/control_process.hpp
+++ b/src/site/control_process.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
     /// Name of the node in log lines.
     std::string name;
     failure_domain domain;
+    /// All failure domains of the deployment, as far as the settings name them.
+    std::set<failure_domain> domains;
     /// Addresses of the HTTP interface for operators, upstreams and callers.
     std::vector<endpoint> api_addresses;
     /// IP:PORT for messages between nodes; also the node's id.
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "site/entry_load.hpp"
+#include "site/evacuation_log.hpp"
 #include "site/site_codec.hpp"
 #include "wire/site.pb.h"
 
@@ -207,13 +208,16 @@
                     .with("share", move.share)
                     .with("reason", move.reason),
                 now);
-    if (site_->version == before->version && site_->moves == before->moves)
+    const bool has_new_orders =
+        site_->moves != before->moves || site_->evacuated != before->evacuated;
+    if (site_->evacuated != before->evacuated)
+        log_evacuations(log_, site_->evacuated, before->evacuated, "site", now);
+    if (site_->version == before->version && !has_new_orders)
         return;
     // The leader tells entries at once; other nodes tell them in reply to their
     // next report. Of versions in quick succession, ticks tell the newest.
-    const bool is_due =
-        site_->moves != before->moves ||
-        now - entries_told_at_ >= options_.entry_sync.site_interval;
+    const bool is_due = has_new_orders || now - entries_told_at_ >=
+                                              options_.entry_sync.site_interval;
     if (is_due && status_of(*control_).role == consensus::role::leader)
         tell_entries();
 }
@@ -366,6 +370,50 @@
         logged("version move", 0, std::move(done)));
 }
 
+void control_service::set_evacuation(
+    const failure_domain& domain, bool is_evacuated, change_callback done)
+{
+    const auto answer = logged(
+        is_evacuated ? "evacuation" : "end of an evacuation",
+        site_->version,
+        std::move(done));
+    const auto refuse = [&](error_kind kind, std::string detail)
+    {
+        answer(
+            command_outcome{failure{kind, std::move(detail)}, site_->version});
+    };
+    if (domain.empty() || domain.value.size() > max_domain_name_size)
+        return refuse(
+            error_kind::malformed_request,
+            "the name of a failure domain has " +
+                std::to_string(domain.value.size()) + " bytes, 1 to " +
+                std::to_string(max_domain_name_size) + " are allowed");
+    if (!is_known_domain(domain))
+        return refuse(
+            error_kind::unknown_resource,
+            "no failure domain is named \"" + domain.value + "\"");
+    // Not answered from this node's state, which may be older than an order
+    // that another node has acknowledged.
+    propose_change(
+        encode_set_evacuation(domain, is_evacuated, time_of_day()), answer);
+}
+
+bool control_service::is_known_domain(const failure_domain& domain) const
+{
+    return options_.domains.count(domain) > 0 ||
+           site_->evacuated.domains.count(domain) > 0 ||
+           std::any_of(
+               entries_.begin(),
+               entries_.end(),
+               [&](const auto& each)
+               { return each.second.domain == domain; }) ||
+           std::any_of(
+               directory_.upstreams.begin(),
+               directory_.upstreams.end(),
+               [&](const auto& each)
+               { return each.second.value.domain == domain; });
+}
+
 std::shared_ptr<const site_state> control_service::read() const
 {
     const time_point now = uptime();
@@ -481,6 +529,9 @@
     report.add_members(options_.self.value);
     for (const auto& [service, move] : site_->moves)
         write(*report.add_moves(), move);
+    for (const failure_domain& each : site_->evacuated.domains)
+        report.add_evacuated_domains(each.value);
+    report.set_evacuation_revision(site_->evacuated.revision);
     write_seat(report, to, now);
     report.set_is_leader(is_leader_);
     if (is_leader_ && answers_use)
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -99,6 +99,9 @@
     node_id self;
     /// Nodes contacted before the membership is known.
     std::vector<node_id> seeds;
+    /// Failure domains that exist, beside those that upstreams and entries
+    /// name.
+    std::set<failure_domain> domains;
     /// Entries without a report for this long are not returned to callers.
     duration entry_timeout = 1500ms;
     /// Interval at which upstreams announce themselves.
@@ -184,6 +187,11 @@
         const version_name& target,
         std::int64_t duration_ms,
         change_callback done);
+    /// Evacuates a failure domain, or withdraws its evacuation. Errors:
+    /// `unknown_resource` if nothing names the domain, `malformed_request` if
+    /// its name is empty or too long.
+    void set_evacuation(
+        const failure_domain& domain, bool is_evacuated, change_callback done);
     /// The newest state; null if this node cannot confirm that it is the
     /// newest.
     std::shared_ptr<const site_state> read() const;
@@ -238,6 +246,7 @@
     void tick();
     void schedule();
     void on_state_changed();
+    bool is_known_domain(const failure_domain& domain) const;
     void propose_change(std::string command, change_callback done);
     /// Calls `done`, and logs what became of an operator's change.
     change_callback
--- a/src/site/rent_policy.cpp
+++ b/src/site/rent_policy.cpp
@@ -48,6 +48,7 @@
     const renting_terms& terms,
     const upstream_directory& directory,
     const service_name& service,
+    const std::set<failure_domain>& evacuated,
     time_point now)
 {
     rented_counts counts;
@@ -56,7 +57,7 @@
     for (const auto& [id, each] : directory.upstreams)
     {
         const upstream& value = each.value;
-        if (value.service != service)
+        if (value.service != service || evacuated.count(value.domain) > 0)
             continue;
         if (is_live(options, each, now))
         {
@@ -400,6 +401,16 @@
     return targets;
 }
 
+/// The service with renting terms for the other failure domains only.
+service
+without_domains(service value, const std::set<failure_domain>& evacuated)
+{
+    if (value.renting)
+        for (const failure_domain& each : evacuated)
+            value.renting->prices.erase(each);
+    return value;
+}
+
 /// Whether the order must be sent now; it may have been sent before.
 bool is_due(
     const rent_state& state,
@@ -446,15 +457,21 @@
 std::vector<target_count> due_orders(
     const rent_options& options,
     rent_state& state,
-    const service& service,
+    const service& whole_service,
     const service_demand& demand,
     const upstream_directory& directory,
     time_point now)
 {
+    const service service = without_domains(whole_service, demand.evacuated);
     if (!service.renting || service.renting->prices.empty())
         return {};
-    const rented_counts counts =
-        count_rented(options, *service.renting, directory, service.name, now);
+    const rented_counts counts = count_rented(
+        options,
+        *service.renting,
+        directory,
+        service.name,
+        demand.evacuated,
+        now);
     record_start(state, service.name, demand, counts, now);
     const rent_state::basis basis{
         update_peak_need(options, state, service.name, demand, counts, now),
--- a/src/site/rent_policy.hpp
+++ b/src/site/rent_policy.hpp
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -117,6 +118,9 @@
     /// refused since upstreams name limits.
     double request_rate = 0;
     double refused_rate = 0;
+    /// Failure domains whose upstreams get no request: nothing is rented or
+    /// released there, and the others carry the load.
+    std::set<failure_domain> evacuated;
     /// Requests per second that ready upstreams take at most, of those that
     /// name a limit.
     std::vector<double> limits;
--- a/src/site/site_codec.cpp
+++ b/src/site/site_codec.cpp
@@ -153,6 +153,17 @@
     return amounts;
 }
 
+evacuations read_evacuations(
+    const google::protobuf::RepeatedPtrField<std::string>& domains,
+    std::uint64_t revision)
+{
+    evacuations to;
+    to.revision = revision;
+    for (const std::string& each : domains)
+        to.domains.insert({each});
+    return to;
+}
+
 std::string encode_directory(const directory_message& message)
 {
     pb::directory_news encoded;
--- a/src/site/site_codec.hpp
+++ b/src/site/site_codec.hpp
@@ -43,6 +43,10 @@
 admission::account_amounts read_amounts(
     const google::protobuf::RepeatedPtrField<wire::site::account_amount>& from);
 
+evacuations read_evacuations(
+    const google::protobuf::RepeatedPtrField<std::string>& domains,
+    std::uint64_t revision);
+
 struct forwarded_announcement
 {
     upstream value;
--- a/src/site/site_state.cpp
+++ b/src/site/site_state.cpp
@@ -136,6 +136,13 @@
     return {std::nullopt, state.version};
 }
 
+command_outcome
+apply_command(site_state& state, const pb::set_evacuation& from, std::int64_t)
+{
+    set_evacuated(state.evacuated, {from.domain()}, from.is_evacuated());
+    return {std::nullopt, state.version};
+}
+
 command_outcome
 apply_command(site_state& state, const prepared_command& prepared)
 {
@@ -160,6 +167,8 @@
         return apply_command(state, command.departures(), now_ms);
     case pb::site_command::kLimit:
         return apply_command(state, command.limit(), now_ms);
+    case pb::site_command::kEvacuation:
+        return apply_command(state, command.evacuation(), now_ms);
     case pb::site_command::BODY_NOT_SET:
         break;
     }
@@ -269,6 +278,9 @@
     for (const auto& [account, amount] : state.limit_ceilings)
         write(*to.add_limit_ceilings(), account, amount);
     to.set_limit_entries(state.limit_entries);
+    for (const failure_domain& each : state.evacuated.domains)
+        to.add_evacuated_domains(each.value);
+    to.set_evacuation_revision(state.evacuated.revision);
     return to.SerializeAsString();
 }
 
@@ -308,6 +320,8 @@
             read(each.departure(), each.recorded_ms());
     restored.limit_ceilings = read_amounts(from.limit_ceilings());
     restored.limit_entries = from.limit_entries();
+    restored.evacuated =
+        read_evacuations(from.evacuated_domains(), from.evacuation_revision());
     state = std::move(restored);
     return {};
 }
@@ -379,6 +393,15 @@
     return command.SerializeAsString();
 }
 
+std::string encode_set_evacuation(
+    const failure_domain& domain, bool is_evacuated, wall_time now)
+{
+    pb::site_command command = make_command(now);
+    command.mutable_evacuation()->set_domain(domain.value);
+    command.mutable_evacuation()->set_is_evacuated(is_evacuated);
+    return command.SerializeAsString();
+}
+
 command_outcome decode_result(std::string_view result)
 {
     pb::site_result from;
--- a/src/site/site_state.hpp
+++ b/src/site/site_state.hpp
@@ -1,11 +1,13 @@
 // The replicated state of a site: the configuration in force, version moves,
-// closed usage windows, departures of upstreams, and ceilings of limits.
+// closed usage windows, departures of upstreams, ceilings of limits, and
+// evacuated failure domains.
 // Deterministic: equal logs give equal states on every replica. Commands and
 // results are the messages of src/wire/site.proto.
 #pragma once
 
 #include "admission/shared_limit.hpp"
 #include "site/departures.hpp"
+#include "site/evacuation.hpp"
 #include "site/site.hpp"
 
 #include <bergamotusher/enum_names.hpp>
@@ -91,6 +93,7 @@
     admission::account_amounts limit_ceilings;
     /// Number of entries that shared the limits then.
     std::uint32_t limit_entries = 0;
+    evacuations evacuated;
 };
 
 /// Result of a command.
@@ -156,6 +159,9 @@
     std::uint32_t entries,
     wall_time now);
 
+std::string encode_set_evacuation(
+    const failure_domain& domain, bool is_evacuated, wall_time now);
+
 /// Decodes the result of `apply`; the outcome is `malformed_message` if it
 /// cannot be parsed.
 command_outcome decode_result(std::string_view result);
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -195,14 +195,17 @@
         loop, *requests, options, [this] { return view.site->value.limits; });
 }
 
-std::unique_ptr<scripted_upstream>
-entry_fixture::add_upstream(const std::string& id, const std::string& service)
+std::unique_ptr<scripted_upstream> entry_fixture::add_upstream(
+    const std::string& id,
+    const std::string& service,
+    const std::string& domain)
 {
     auto created = std::make_unique<scripted_upstream>(loop, id);
     site::upstream value;
     value.id = {id};
     value.service = {service};
     value.address = created->address();
+    value.domain = {domain};
     value.slots = 8;
     value.sequence = 1;
     merge(view.directory, value, uptime());
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -62,8 +62,10 @@
     entry_fixture();
 
     /// Starts an upstream of `service` and adds it to the entry's directory.
-    std::unique_ptr<scripted_upstream>
-    add_upstream(const std::string& id, const std::string& service);
+    std::unique_ptr<scripted_upstream> add_upstream(
+        const std::string& id,
+        const std::string& service,
+        const std::string& domain = "north");
     /// Sends `text` on a new connection and returns the bytes received until
     /// the answer is complete, the entry closes the connection, or `limit` has
     /// passed.
--- a/tests/site/rent_policy_test.cpp
+++ b/tests/site/rent_policy_test.cpp
@@ -436,3 +436,31 @@
         CHECK(platform.state.last_basis[{"llm"}].need == Approx(need_before));
     }
 }
+
+TEST_CASE("the other failure domains carry the load of an evacuated one")
+{
+    simulated_platform platform;
+    service_demand demand;
+    demand.requests = 200;
+    demand.prompt_tokens = 100'000;
+    platform.run(40s, demand);
+    const std::string evacuated =
+        llm_service().renting->prices.begin()->first.value;
+    const std::uint32_t before_there =
+        platform.count(market::reclaimable, evacuated) +
+        platform.count(market::on_demand, evacuated);
+    const double needed = platform.state.last_basis[{"llm"}].need;
+    REQUIRE(before_there > 0);
+
+    demand.evacuated = {{evacuated}};
+    platform.run(20s, demand);
+    CHECK(platform.live_upstreams() - before_there >= needed);
+
+    SECTION("and nothing is rented or released there")
+    {
+        CHECK(
+            platform.count(market::reclaimable, evacuated) +
+                platform.count(market::on_demand, evacuated) ==
+            before_there);
+    }
+}
