Warm-up: an upstream takes its stated rate from all entries together, and no more

The rate is shared by the slots that limits of upstreams use, without messages; slots are shorter, since what an upstream bears is a bound on each second. The newest announcement says when the warm-up ends; one that became cold again is told to all. Upstreams that return from an evacuation are taken to warm up until they have announced themselves.

Ruled out: slots of a second, as for limits that upstreams name (three of them can meet in one second: 21.9 requests where 15.9 are allowed).

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -414,6 +414,8 @@
     }
     view_.site = site::index_configuration(
         std::move(std::get<site::configuration>(parsed)));
+    // Services set the rates of their upstreams.
+    relay_.on_upstreams_changed();
     log_.write(
         log_line(decision::site_changed)
             .with("version", version)
@@ -425,10 +427,11 @@
     const node_id& from, const pb::control_report& report, time_point now)
 {
     const site::evacuations before = view_.evacuated;
-    if (!adopt_newer(
-            view_.evacuated,
+    if (!adopt_evacuations(
+            view_,
             site::read_evacuations(
-                report.evacuated_domains(), report.evacuation_revision())))
+                report.evacuated_domains(), report.evacuation_revision()),
+            now))
         return;
     log_evacuations(log_, view_.evacuated, before, from.value, now);
     relay_.on_upstreams_changed();
--- a/src/gateway/entry_view.cpp
+++ b/src/gateway/entry_view.cpp
@@ -64,6 +64,17 @@
         }
         known_upstream->value = each.value;
         known_upstream->id_hash = hash_of(id.value);
+        const site::service* service =
+            view.site ? find_service(*view.site, each.value.service) : nullptr;
+        known_upstream->warm_up_rate = service != nullptr && service->warm_up
+                                           ? service->warm_up->requests_per_s
+                                           : 0;
+        const auto returned = view.evacuation_ended_at.find(each.value.domain);
+        known_upstream->warm_until = std::max(
+            each.warm_until,
+            returned == view.evacuation_ended_at.end()
+                ? time_point{}
+                : returned->second + evacuation_return_time);
         known_upstream->limit =
             limit_of(view.upstream_limits, id, each.value.started_ms);
         current_addresses.insert(each.value.address);
@@ -80,6 +91,20 @@
     return removed_addresses;
 }
 
+bool adopt_evacuations(
+    entry_view& view, const site::evacuations& newer, time_point now)
+{
+    const site::evacuations before = view.evacuated;
+    if (!adopt_newer(view.evacuated, newer))
+        return false;
+    for (const failure_domain& each : before.domains)
+        if (view.evacuated.domains.count(each) == 0)
+            view.evacuation_ended_at[each] = now;
+    for (const failure_domain& each : view.evacuated.domains)
+        view.evacuation_ended_at.erase(each);
+    return true;
+}
+
 duration true_time(const entry_view& view, time_point now)
 {
     return now.time_since_epoch() +
--- a/src/gateway/entry_view.hpp
+++ b/src/gateway/entry_view.hpp
@@ -68,6 +68,8 @@
     /// Without those in evacuated failure domains, which get no request.
     std::map<service_name, std::vector<upstream_view*>> by_service;
     site::evacuations evacuated;
+    /// When this entry learned that an evacuation was withdrawn.
+    std::map<failure_domain, time_point> evacuation_ended_at;
     std::map<service_name, site::version_move> moves;
     /// Number of entries that share the limits, including this one.
     std::uint32_t entries = 1;
@@ -107,6 +109,15 @@
         started_requests;
 };
 
+/// Upstreams that return from an evacuation are taken to warm up for this long:
+/// they may have become cold, and announce it within two intervals of 1.2 s.
+inline constexpr duration evacuation_return_time = 2500ms;
+
+/// Replaces the evacuations that are known by newer ones; returns whether they
+/// were newer.
+bool adopt_evacuations(
+    entry_view& view, const site::evacuations& newer, time_point now);
+
 /// The time of day that the nodes agree on, as a span since the Unix epoch.
 duration true_time(const entry_view& view, time_point now);
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -41,25 +41,41 @@
 
 } // namespace
 
+std::optional<bounded_rate>
+rate_bound(const upstream_view& view, const limit_terms& terms)
+{
+    if (view.warm_up_rate > 0 && terms.now < view.warm_until)
+        return bounded_rate{
+            std::min(view.warm_up_rate, view.limit.value_or(view.warm_up_rate)),
+            &terms.warm_up,
+            &view.warm_up_use};
+    if (view.limit)
+        return bounded_rate{*view.limit, &terms.options, &view.limit_use};
+    return std::nullopt;
+}
+
 bool is_within_limit(const upstream_view& view, const limit_terms& terms)
 {
-    return !view.limit || admission::requests_left(
-                              terms.options,
-                              {*view.limit, view.id_hash},
-                              terms.seat,
-                              view.limit_use,
-                              terms.true_time) > 0;
+    const auto bound = rate_bound(view, terms);
+    return !bound || admission::requests_left(
+                         *bound->options,
+                         {bound->requests_per_s, view.id_hash},
+                         terms.seat,
+                         *bound->use,
+                         terms.true_time) > 0;
 }
 
 void record_limit_use(upstream_view& view, const limit_terms& terms)
 {
-    if (view.limit)
-        record_use(
-            terms.options,
-            {*view.limit, view.id_hash},
-            terms.seat,
-            view.limit_use,
-            terms.true_time);
+    const auto bound = rate_bound(view, terms);
+    if (!bound)
+        return;
+    record_use(
+        *bound->options,
+        {bound->requests_per_s, view.id_hash},
+        terms.seat,
+        bound->use == &view.limit_use ? view.limit_use : view.warm_up_use,
+        terms.true_time);
 }
 
 std::optional<duration> time_to_limited_request(
@@ -72,16 +88,17 @@
     std::vector<duration> times;
     for (const upstream_view* each : upstreams)
     {
-        if (each->value.state != site::upstream_state::ready || !each->limit ||
+        const auto bound = rate_bound(*each, terms);
+        if (each->value.state != site::upstream_state::ready || !bound ||
             each->is_silent || now < each->avoid_until ||
             tried.count(each->value.id) > 0)
             continue;
         for (std::uint32_t i = 0; i <= ahead; ++i)
             if (const auto time = admission::time_to_request(
-                    terms.options,
-                    {*each->limit, each->id_hash},
+                    *bound->options,
+                    {bound->requests_per_s, each->id_hash},
                     terms.seat,
-                    each->limit_use,
+                    *bound->use,
                     i,
                     terms.true_time))
                 times.push_back(*time);
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -88,16 +88,43 @@
     std::optional<double> limit;
     admission::slot_use limit_use;
     bool has_logged_unreadable_limit = false;
+    /// Until then it warms up and takes `warm_up_rate` requests a second from
+    /// all entries together; a rate of 0 means that its service sets none.
+    time_point warm_until;
+    double warm_up_rate = 0;
+    admission::slot_use warm_up_use;
 };
 
 /// What decides on an entry's part of the limits that upstreams name.
 struct limit_terms
 {
     admission::slot_options options;
+    admission::slot_options warm_up;
     admission::entry_seat seat;
     duration true_time{};
+    time_point now;
 };
 
+/// How entries share what an upstream takes while it warms up. A bound on each
+/// second is a stricter one than the mean rate over seconds: slots are short,
+/// and little of what one leaves unused may be sent later.
+inline constexpr admission::slot_options warm_up_sharing{
+    .length = 200ms, .spare_requests = 2, .max_later_slots = 2};
+
+/// The rate that bounds what an upstream takes from all entries together, of
+/// which this entry has a part.
+struct bounded_rate
+{
+    double requests_per_s = 0;
+    const admission::slot_options* options = nullptr;
+    const admission::slot_use* use = nullptr;
+};
+
+/// The bound in force: that of the warm-up, else the limit that the upstream
+/// names; nothing if it has neither.
+std::optional<bounded_rate>
+rate_bound(const upstream_view& view, const limit_terms& terms);
+
 /// Whether the entry may send a request to the upstream now, by the limit that
 /// the upstream names.
 bool is_within_limit(const upstream_view& view, const limit_terms& terms);
--- a/src/gateway/relay_limits.cpp
+++ b/src/gateway/relay_limits.cpp
@@ -17,7 +17,12 @@
 
 limit_terms relay::current_limit_terms(time_point now) const
 {
-    return {options_.upstream_limits, view_.seat, true_time(view_, now)};
+    return {
+        options_.upstream_limits,
+        warm_up_sharing,
+        view_.seat,
+        true_time(view_, now),
+        now};
 }
 
 void relay::read_statement(const request_ptr& req, const answer_metadata& facts)
@@ -116,15 +121,16 @@
 void relay::reject_limited(const request_ptr& req)
 {
     const time_point now = uptime();
+    const limit_terms terms = current_limit_terms(now);
     const auto upstreams =
         eligible_upstreams(view_, req->service, req->version_draw);
     double rate = 0;
     for (const upstream_view* each : upstreams)
-        if (each->value.state == site::upstream_state::ready && each->limit)
-            rate += std::max(*each->limit, options_.upstream_limits.min_rate);
+        if (const auto bound = rate_bound(*each, terms);
+            each->value.state == site::upstream_state::ready && bound)
+            rate += std::max(bound->requests_per_s, bound->options->min_rate);
     const std::uint32_t entries = std::max(view_.seat.count, 1U);
-    const auto free_in = time_to_limited_request(
-        upstreams, {}, 0, current_limit_terms(now), now);
+    const auto free_in = time_to_limited_request(upstreams, {}, 0, terms, now);
     // Callers return one after the other, as fast as this entry's part of the
     // limits serves them.
     time_point& return_at = limited_return_at_[req->service];
@@ -140,7 +146,7 @@
     reject(
         req,
         error_kind::overloaded,
-        "all upstreams name limits, " + std::to_string(rate) +
+        "all upstreams have limits or warm up, " + std::to_string(rate) +
             " requests/s in all",
         std::max(delay, options_.default_retry_after));
 }
--- a/src/site/rent_policy.hpp
+++ b/src/site/rent_policy.hpp
@@ -120,7 +120,7 @@
     double refused_rate = 0;
     /// Failure domains whose upstreams get no request: nothing is rented or
     /// released there, and the others carry the load.
-    std::set<failure_domain> evacuated;
+    std::set<failure_domain> evacuated{};
     /// Requests per second that ready upstreams take at most, of those that
     /// name a limit.
     std::vector<double> limits;
--- a/src/site/site.hpp
+++ b/src/site/site.hpp
@@ -103,6 +103,14 @@
     std::map<failure_domain, double> prices;
 };
 
+/// What an upstream bears while it warms up after its start.
+struct warm_up_terms
+{
+    duration after_start{};
+    /// From all entries together; it may crash above that.
+    double requests_per_s = 0;
+};
+
 struct service
 {
     service_name name;
@@ -112,6 +120,8 @@
     std::uint32_t connections_max = 0;
     std::optional<engine_traits> engine;
     std::optional<renting_terms> renting;
+    /// Nothing if upstreams need no care while they warm up.
+    std::optional<warm_up_terms> warm_up{};
 };
 
 /// A client account with its keys and its rate limit.
--- a/src/site/upstream_directory.cpp
+++ b/src/site/upstream_directory.cpp
@@ -50,6 +50,14 @@
            a.reclaimable == b.reclaimable;
 }
 
+/// Whether an upstream that runs on became cold again. Its remaining time
+/// otherwise only falls; how late an announcement arrives varies.
+bool became_cold(const known_upstream& known, time_point warm_until)
+{
+    constexpr duration delay_variation = 500ms;
+    return warm_until > known.warm_until + delay_variation;
+}
+
 /// An incarnation that is gone never becomes ready again by a late
 /// announcement.
 bool is_newer(const upstream& announcement, const upstream& known)
@@ -104,18 +112,24 @@
     time_point now,
     duration age)
 {
+    const time_point warm_until = announcement.warm_up > duration::zero()
+                                      ? now - age + announcement.warm_up
+                                      : time_point{};
     const auto found = directory.upstreams.find(announcement.id);
     if (found == directory.upstreams.end())
     {
         directory.upstreams.emplace(
-            announcement.id, known_upstream{announcement, now - age, now});
+            announcement.id,
+            known_upstream{announcement, now - age, now, warm_until});
         update_digest(directory, 0, digest_of(announcement), now);
         return merge_outcome::changed;
     }
     known_upstream& known = found->second;
     if (!is_newer(announcement, known.value))
         return merge_outcome::stale;
-    const bool same = same_facts(announcement, known.value);
+    const bool same = same_facts(announcement, known.value) &&
+                      !(warm_until > now && became_cold(known, warm_until));
+    known.warm_until = warm_until;
     update_digest(
         directory, digest_of(known.value), digest_of(announcement), now);
     known.value = announcement;
--- a/src/site/upstream_directory.hpp
+++ b/src/site/upstream_directory.hpp
@@ -66,6 +66,8 @@
     time_point heard_at;
     /// When its announced facts last changed here.
     time_point changed_at;
+    /// When it ends to warm up, by its newest announcement.
+    time_point warm_until{};
 };
 
 struct upstream_directory
