Entries charge other failure domains by the leader's rooms (not measured)

Entries report arrivals, the leader sends control_report.rooms, select_upstream charges by domain_cost_ms: 12 ms as before within the share, or where nothing is told; five times as much beyond it. Metrics by pair of domains, a log line for each step of a share. Ruled out: bounding domains with ample room (prompts cached elsewhere). Tests: routing_test and site_test pass; gateway_test had 36 failed assertions in its last run, all 'bind: Address already in use' while two runs of it overlapped, and 2 in an earlier one whose cause was not read.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -103,6 +103,7 @@
     }
     view_.true_time_offset_ms = true_time_ms(clock_, time_of_day(), now) -
                                 now.time_since_epoch().count() / 1000;
+    step_exchanges(now);
     if (view_.crashes.is_report_due && now < next_report_at_ &&
         now - crashes_reported_at_ >= options_.min_leader_report_interval)
     {
@@ -385,6 +386,8 @@
             seconds);
         load.set_request_rate(
             static_cast<double>(counts.sent - before.sent) / seconds);
+        load.set_arrival_rate(
+            static_cast<double>(counts.arrived - before.arrived) / seconds);
         load.set_refused_rate(
             static_cast<double>(
                 counts.refused_for_limits - before.refused_for_limits) /
@@ -423,6 +426,31 @@
         now);
 }
 
+void control_link::read_rooms(const pb::control_report& report, time_point now)
+{
+    std::map<service_name, std::vector<routing::domain_state>> rooms;
+    for (const pb::domain_room& each : report.rooms())
+        rooms[{each.service()}].push_back(
+            {{each.domain()}, each.arrival_rate(), each.capacity()});
+    for (auto& [service, domains] : rooms)
+        routing::record_domains(
+            view_.exchanges[service], std::move(domains), now);
+}
+
+void control_link::step_exchanges(time_point now)
+{
+    for (auto& [service, exchange] : view_.exchanges)
+        for (const routing::share_change& each : routing::step_shares(
+                 options_.exchange, exchange, options_.domain, now))
+            log_.write(
+                log_line(decision::share_changed)
+                    .with("service", service.value)
+                    .with("to", each.to.value)
+                    .with("before", each.before)
+                    .with("share", each.share),
+                now);
+}
+
 void control_link::install_evacuations(
     const node_id& from, const pb::control_report& report, time_point now)
 {
@@ -547,6 +575,7 @@
     read_limits(from, report, now);
     if (report.is_leader())
     {
+        read_rooms(report, now);
         std::set<std::string> silent(
             report.silent_upstreams().begin(), report.silent_upstreams().end());
         for (auto& [id, upstream] : view_.upstreams)
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -73,6 +73,7 @@
     /// Number of past usage windows included in a report to the leader.
     std::uint64_t usage_windows_reported = 7;
     routing::prefill_speed_options prefill_speed;
+    routing::exchange_options exchange;
     site::configuration_parser parse = nullptr;
 };
 
@@ -134,6 +135,9 @@
         const node_id& from,
         const wire::site::control_report& report,
         time_point now);
+    void read_rooms(const wire::site::control_report& report, time_point now);
+    /// Moves the shares of requests that may leave the failure domain.
+    void step_exchanges(time_point now);
     void install_grants(
         const wire::site::control_report& report, time_point report_sent_at);
     void install_site(
--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -424,6 +424,35 @@
     for (const auto& [kind, count] : counts.rejected)
         out << "bergamotusher_refusals_total{kind=\""
             << error_answer_for(kind).name << "\"} " << count << '\n';
+    write_header(
+        "left_domain_requests_total",
+        "counter",
+        "Requests sent to another failure domain.");
+    const auto write_pair = [&](const char* name,
+                                const service_name& service,
+                                const failure_domain& domain) -> std::ostream&
+    {
+        return out << "bergamotusher_" << name << "{service=\"" << service.value
+                   << "\",from=\"" << settings_.domain.value << "\",to=\""
+                   << domain.value << "\"} ";
+    };
+    for (const auto& [key, traffic] : view_.left_domain)
+        write_pair("left_domain_requests_total", key.first, key.second)
+            << traffic.requests << '\n';
+    write_header(
+        "left_domain_bytes_total",
+        "counter",
+        "Bytes of requests to, and answers from, another failure domain.");
+    for (const auto& [key, traffic] : view_.left_domain)
+        write_pair("left_domain_bytes_total", key.first, key.second)
+            << traffic.bytes << '\n';
+    write_header(
+        "leaving_share",
+        "gauge",
+        "Part of the arrivals that may go to another failure domain.");
+    for (const auto& [service, exchange] : view_.exchanges)
+        for (const auto& [domain, share] : exchange.shares)
+            write_pair("leaving_share", service, domain) << share << '\n';
     write_header(
         "first_byte_ms", "histogram", "Time to the first byte of answers.");
     std::uint64_t sum = 0;
--- a/src/gateway/entry_view.hpp
+++ b/src/gateway/entry_view.hpp
@@ -51,6 +51,16 @@
     std::uint64_t prefill_tokens = 0;
     std::uint64_t sent = 0;
     std::uint64_t refused_for_limits = 0;
+    /// Requests that arrived, counted since the start.
+    std::uint64_t arrived = 0;
+};
+
+/// Requests sent to another failure domain, and the bytes of their messages,
+/// both ways; counted since the start.
+struct domain_traffic
+{
+    std::uint64_t requests = 0;
+    std::uint64_t bytes = 0;
 };
 
 struct entry_view
@@ -100,6 +110,10 @@
     part_request_rates rates;
     std::map<tally_key, version_tally> tallies;
     std::map<service_name, service_counts> services;
+    /// How much of each service's requests may leave the failure domain.
+    std::map<service_name, routing::exchange_state> exchanges;
+    std::map<std::pair<service_name, failure_domain>, domain_traffic>
+        left_domain;
     /// What first tokens showed of the speed of each service's engines.
     std::map<service_name, routing::prefill_speed> prefill_speeds;
     /// Length of a usage window; windows are aligned to the true time of day.
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -123,6 +123,21 @@
     return others + view.own_running;
 }
 
+double domain_cost_ms(
+    const placement_options& options,
+    const placement_request& request,
+    const failure_domain& domain,
+    const failure_domain& own)
+{
+    if (domain == own)
+        return 0;
+    const double transfer_ms = routing::transfer_cost_ms(options.transfer);
+    return request.exchange == nullptr
+               ? transfer_ms
+               : routing::surcharge_ms(
+                     options.exchange, *request.exchange, domain, transfer_ms);
+}
+
 placement_choice select_upstream(
     const placement_options& options,
     const std::vector<upstream_view*>& upstreams,
@@ -180,9 +195,8 @@
                 running_ms + current_lateness(options, *each, now);
             const double cost =
                 predicted +
-                (each->value.domain == own_domain
-                     ? 0
-                     : options.cross_domain_cost_ms) +
+                domain_cost_ms(
+                    options, request, each->value.domain, own_domain) +
                 options.failure_cost_ms * current_failures(options, *each, now);
             if (cost < best_cost)
             {
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -5,6 +5,7 @@
 #include "admission/slot_share.hpp"
 #include "gateway/cache_prediction.hpp"
 #include "gateway/dialect.hpp"
+#include "routing/domain_exchange.hpp"
 #include "routing/prefill_speed.hpp"
 #include "site/upstream_directory.hpp"
 
@@ -31,9 +32,10 @@
     double running_cost_ms = 2;
     /// Time constant of the decay of `lateness_ms`.
     duration lateness_decay_time = 1500ms;
-    /// Added in ms for an upstream in another failure domain: traffic to it is
-    /// billed and takes longer.
-    double cross_domain_cost_ms = 12;
+    /// What another failure domain costs, and how much may be sent there:
+    /// traffic to it is billed and takes longer.
+    routing::transfer_terms transfer;
+    routing::exchange_options exchange;
     /// Added in ms for each recent failure of the upstream.
     double failure_cost_ms = 400;
     /// Time constant of the decay of the failure count.
@@ -156,6 +158,8 @@
     /// What was learned of the service's engines.
     routing::prefill_speed speed;
     limit_terms limits;
+    /// The service's shares for other failure domains; null if unknown.
+    const routing::exchange_state* exchange = nullptr;
 };
 
 struct placement_choice
@@ -175,6 +179,13 @@
     bool is_limited = false;
 };
 
+/// Time in ms that an upstream in `domain` costs for not being in `own`.
+double domain_cost_ms(
+    const placement_options& options,
+    const placement_request& request,
+    const failure_domain& domain,
+    const failure_domain& own);
+
 /// Selects one of `upstreams`, which are those of the request's service and
 /// version.
 placement_choice select_upstream(
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -131,6 +131,7 @@
             break;
     }
     record_request(view_.retry_budgets[req->service], options_.retries, now);
+    ++view_.services[req->service].arrived;
     dispatch(req);
     record_parts(
         options_.placement.cache_prediction,
@@ -195,6 +196,9 @@
     placement.entries = view_.entries;
     placement.speed = view_.prefill_speeds[req->service];
     placement.limits = current_limit_terms(uptime());
+    const auto exchange = view_.exchanges.find(req->service);
+    if (exchange != view_.exchanges.end())
+        placement.exchange = &exchange->second;
     return select_upstream(
         options_.placement,
         eligible_upstreams(view_, req->service, req->version_draw),
@@ -412,9 +416,27 @@
     out.attempt_id = req->facts.attempt;
     out.is_head_request = req->message.method == "HEAD";
     out.at_most_once = req->route->kind != site::route_kind::repeatable;
+    record_domain(*req, upstream.value.domain, out.bytes.size(), now);
     req->ticket = pool_.send(std::move(out), make_callbacks(req));
 }
 
+void relay::record_domain(
+    const request& req,
+    const failure_domain& domain,
+    std::size_t bytes,
+    time_point now)
+{
+    const auto exchange = view_.exchanges.find(req.service);
+    if (exchange != view_.exchanges.end())
+        routing::record_sent(
+            options_.placement.exchange, exchange->second, domain, now);
+    if (domain == options_.domain)
+        return;
+    domain_traffic& traffic = view_.left_domain[{req.service, domain}];
+    ++traffic.requests;
+    traffic.bytes += bytes;
+}
+
 void relay::abandon(std::uint64_t number)
 {
     const auto found = requests_.find(number);
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -213,6 +213,12 @@
     /// Rejects the requests that wait for a service without an upstream.
     void reject_unservable(time_point now);
     void send(const request_ptr& req, const placement_choice& choice);
+    /// Counts a request of `bytes` that is sent to an upstream in `domain`.
+    void record_domain(
+        const request& req,
+        const failure_domain& domain,
+        std::size_t bytes,
+        time_point now);
     std::string encode_request(const request& req, time_point now) const;
     response_callbacks make_callbacks(const request_ptr& req);
 
--- a/src/gateway/relay_answers.cpp
+++ b/src/gateway/relay_answers.cpp
@@ -179,6 +179,11 @@
 
 void relay::on_body(const request_ptr& req, const std::string& piece)
 {
+    const auto from = view_.upstreams.find(req->upstream);
+    if (from != view_.upstreams.end() &&
+        from->second->value.domain != options_.domain)
+        view_.left_domain[{req->service, from->second->value.domain}].bytes +=
+            piece.size();
     if (!req->is_streaming)
     {
         req->body += piece;
--- a/src/site/control_service.cpp
+++ b/src/site/control_service.cpp
@@ -491,6 +491,8 @@
                 static_cast<double>(each.running() + each.waiting());
             demand.prompt_tokens = each.prompt_rate();
             demand.request_rate = each.request_rate();
+            demand.arrival_rate = each.arrival_rate();
+            demand.running = each.running();
             demand.refused_rate = each.refused_rate();
             demand.speed = site::read(each.prefill_speed());
         }
@@ -550,6 +552,16 @@
             learned.set_service(service.value);
             write(*learned.mutable_prefill_speed(), speed);
         }
+    if (is_leader_)
+        for (const auto& [service, rooms] : rooms_)
+            for (const routing::domain_state& each : rooms)
+            {
+                pb::domain_room& room = *report.add_rooms();
+                room.set_service(service.value);
+                room.set_domain(each.domain.value);
+                room.set_arrival_rate(each.arrival_rate);
+                room.set_capacity(each.capacity);
+            }
     if (is_leader_)
         for (const upstream_id& id : silent_upstreams_)
             report.add_silent_upstreams(id.value);
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -15,6 +15,7 @@
 #include "daemon/control_duty.hpp"
 #include "daemon/peers_duty.hpp"
 #include "observe/decision_log.hpp"
+#include "routing/domain_exchange.hpp"
 #include "site/departure_queue.hpp"
 #include "site/entry_sync.hpp"
 #include "site/move_policy.hpp"
@@ -323,6 +324,10 @@
     void judge_moves(std::int64_t now_ms);
     void close_windows(std::int64_t now_ms);
     void send_rent_orders(time_point now);
+    /// Computes what the upstreams of each failure domain take.
+    void update_rooms(time_point now);
+    std::vector<routing::domain_state>
+    rooms_of(const service_name& service, time_point now);
     bool may_act(time_point now) const;
     std::set<node_id> control_nodes() const;
     void send(const node_id& to, wire::message_kind kind, std::string body);
@@ -414,6 +419,10 @@
     /// Speeds learned by the entries; only those that are known.
     std::map<service_name, routing::prefill_speed> prefill_speeds_;
     std::map<entry_incarnation, std::unique_ptr<entry_load>> entry_loads_;
+    /// What each failure domain's upstreams take, for the entries.
+    std::map<service_name, std::vector<routing::domain_state>> rooms_;
+    std::map<service_name, double> request_times_;
+    time_point next_rooms_at_;
     admission::crash_options crash_options_;
     /// Evidence of all entries; kept by every node.
     admission::crash_ledger crashes_;
--- a/src/site/rent_policy.hpp
+++ b/src/site/rent_policy.hpp
@@ -118,6 +118,9 @@
     /// refused since upstreams name limits.
     double request_rate = 0;
     double refused_rate = 0;
+    /// Requests per second that arrived, and those that run at upstreams.
+    double arrival_rate = 0;
+    double running = 0;
     /// Failure domains whose upstreams get no request: nothing is rented or
     /// released there, and the others carry the load.
     std::set<failure_domain> evacuated{};
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -55,6 +55,46 @@
 
 } // namespace
 
+TEST_CASE("an upstream elsewhere costs more beyond the domain's share")
+{
+    const failure_domain other{"south"};
+    const placement_options options;
+    placement_request request;
+    CHECK(domain_cost_ms(options, request, own_domain, own_domain) == 0);
+    CHECK(domain_cost_ms(options, request, other, own_domain) == 12);
+    routing::exchange_state exchange;
+    request.exchange = &exchange;
+    CHECK(domain_cost_ms(options, request, other, own_domain) == 12);
+    exchange.shares[other] = 0;
+    CHECK(domain_cost_ms(options, request, other, own_domain) == 60);
+
+    fleet upstreams(2);
+    upstreams.views[1]->value.domain = other;
+    upstreams.views[0]->own_running = 12;
+    const auto chosen = [&]
+    {
+        return select_upstream(
+                   options, upstreams.all(), request, own_domain, now)
+            .upstream;
+    };
+    SECTION("so a request stays unless its own domain is clearly later")
+    {
+        CHECK(chosen() == upstreams.views[0].get());
+        upstreams.views[0]->own_running = 40;
+        CHECK(chosen() == upstreams.views[1].get());
+    }
+    SECTION("or full")
+    {
+        upstreams.views[0]->value.slots = 12;
+        CHECK(chosen() == upstreams.views[1].get());
+    }
+    SECTION("and leaves as before where the leader tells nothing")
+    {
+        exchange.shares.clear();
+        CHECK(chosen() == upstreams.views[1].get());
+    }
+}
+
 TEST_CASE("requests with a shared part go to the upstream that has it cached")
 {
     fleet upstreams(6);
