Warm-up: few entries share an upstream, and renting waits for it

Five entries, or as many as leave each entry one upstream, now share what an upstream takes; upstreams of a service with warm-up terms are trusted once warm.

--- a/src/admission/slot_share.cpp
+++ b/src/admission/slot_share.cpp
@@ -74,6 +74,16 @@
 
 } // namespace
 
+entry_seat seat_among_owners(
+    const entry_seat& seat, std::uint64_t key, std::uint32_t owners)
+{
+    if (seat.count == 0 || owners >= seat.count)
+        return seat;
+    const auto first = static_cast<std::uint32_t>(key % seat.count);
+    const std::uint32_t rank = (seat.rank + seat.count - first) % seat.count;
+    return rank < owners ? entry_seat{rank, owners} : entry_seat{};
+}
+
 std::int64_t slot_at(const slot_options& options, duration true_time)
 {
     return true_time / options.length;
--- a/src/admission/slot_share.hpp
+++ b/src/admission/slot_share.hpp
@@ -47,6 +47,13 @@
     bool operator==(const entry_seat&) const = default;
 };
 
+/// The place of an entry among the `owners` entries that share a rate, while
+/// the others use nothing of it; `count` 0 if it is one of the others. Which
+/// ones they are follows from `key`. Few owners can use a small rate without
+/// long gaps, and keep the caches that they fill.
+entry_seat seat_among_owners(
+    const entry_seat& seat, std::uint64_t key, std::uint32_t owners);
+
 /// A rate to share. `key` differs between rates, so that each begins its turn
 /// at another entry.
 struct shared_rate
--- a/src/gateway/entry_view.cpp
+++ b/src/gateway/entry_view.cpp
@@ -81,6 +81,10 @@
         if (view.evacuated.domains.count(each.value.domain) == 0)
             view.by_service[each.value.service].push_back(known_upstream.get());
     }
+    for (const auto& [service, upstreams] : view.by_service)
+        for (upstream_view* each : upstreams)
+            each->service_upstreams =
+                static_cast<std::uint32_t>(upstreams.size());
     std::vector<std::string> removed_addresses;
     std::set_difference(
         previous_addresses.begin(),
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -41,16 +41,38 @@
 
 } // namespace
 
+namespace
+{
+
+/// Entries that share what an upstream takes while it warms up. So many that
+/// entries have about equal parts of a few upstreams, but still few, so that
+/// each has a request open at most times; more where upstreams are fewer, so
+/// that each entry has one.
+std::uint32_t
+warm_up_owners(const admission::entry_seat& seat, std::uint32_t upstreams)
+{
+    constexpr std::uint32_t min_owners = 5;
+    const std::uint32_t sharing = std::max(upstreams, 1U);
+    return std::max((seat.count + sharing - 1) / sharing, min_owners);
+}
+
+} // namespace
+
 std::optional<bounded_rate>
 rate_bound(const upstream_view& view, const limit_terms& terms)
 {
     if (view.warm_up_rate > 0 && terms.now < view.warm_until)
         return bounded_rate{
             std::min(view.warm_up_rate, view.limit.value_or(view.warm_up_rate)),
+            admission::seat_among_owners(
+                terms.seat,
+                view.id_hash,
+                warm_up_owners(terms.seat, view.service_upstreams)),
             &terms.warm_up,
             &view.warm_up_use};
     if (view.limit)
-        return bounded_rate{*view.limit, &terms.options, &view.limit_use};
+        return bounded_rate{
+            *view.limit, terms.seat, &terms.options, &view.limit_use};
     return std::nullopt;
 }
 
@@ -60,7 +82,7 @@
     return !bound || admission::requests_left(
                          *bound->options,
                          {bound->requests_per_s, view.id_hash},
-                         terms.seat,
+                         bound->seat,
                          *bound->use,
                          terms.true_time) > 0;
 }
@@ -73,7 +95,7 @@
     record_use(
         *bound->options,
         {bound->requests_per_s, view.id_hash},
-        terms.seat,
+        bound->seat,
         bound->use == &view.limit_use ? view.limit_use : view.warm_up_use,
         terms.true_time);
 }
@@ -97,7 +119,7 @@
             if (const auto time = admission::time_to_request(
                     *bound->options,
                     {bound->requests_per_s, each->id_hash},
-                    terms.seat,
+                    bound->seat,
                     *bound->use,
                     i,
                     terms.true_time))
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -92,6 +92,8 @@
     /// all entries together; a rate of 0 means that its service sets none.
     time_point warm_until;
     double warm_up_rate = 0;
+    /// Upstreams of its service that get requests, including this one.
+    std::uint32_t service_upstreams = 1;
     admission::slot_use warm_up_use;
 };
 
@@ -116,6 +118,7 @@
 struct bounded_rate
 {
     double requests_per_s = 0;
+    admission::entry_seat seat;
     const admission::slot_options* options = nullptr;
     const admission::slot_use* use = nullptr;
 };
--- a/src/site/rent_policy.cpp
+++ b/src/site/rent_policy.cpp
@@ -49,6 +49,7 @@
     const upstream_directory& directory,
     const service_name& service,
     const std::set<failure_domain>& evacuated,
+    bool has_warm_up,
     time_point now)
 {
     rented_counts counts;
@@ -65,8 +66,10 @@
                 value.reclaimable ? market::reclaimable : market::on_demand;
             ++counts.live[{value.domain, paid_as}];
             slots.push_back(value.slots);
+            // What warms up carries little yet, where its service bounds that.
             if (value.reclaimable &&
-                now - each.changed_at >= options.trust_after)
+                now - each.changed_at >= options.trust_after &&
+                (!has_warm_up || now >= each.warm_until))
             {
                 ++counts.trusted_reclaimable;
                 counts.trusted_in_largest_domain = std::max(
@@ -471,6 +474,7 @@
         directory,
         service.name,
         demand.evacuated,
+        service.warm_up.has_value(),
         now);
     record_start(state, service.name, demand, counts, now);
     const rent_state::basis basis{
--- a/tests/gateway/warm_up_test.cpp
+++ b/tests/gateway/warm_up_test.cpp
@@ -92,6 +92,15 @@
     all.run(10s);
     CHECK(all.most_in_a_second() <= bearable);
 
+    SECTION("also if it is one of many, of which each entry uses some")
+    {
+        fleet few_owners(count);
+        for (simulated_entry& each : few_owners.entries)
+            each.upstream.service_upstreams = 140;
+        few_owners.run(10s);
+        CHECK(few_owners.most_in_a_second() <= bearable);
+        CHECK(few_owners.sent.size() >= 0.8 * warm_up_rate * seconds);
+    }
     SECTION("and most of what it offers is used")
     {
         CHECK(all.sent.size() >= 0.8 * warm_up_rate * seconds);
@@ -108,6 +117,10 @@
     }
     SECTION("while an entry joins and the others learn it one by one")
     {
+        const std::uint32_t upstreams = GENERATE(1U, 140U);
+        for (simulated_entry& each : all.entries)
+            each.upstream.service_upstreams = upstreams;
+        all.run(4s);
         all.entries.push_back(all.entries.front());
         all.entries.back().upstream.warm_up_use = {};
         for (std::uint32_t i = 0; i <= count; ++i)
--- a/tests/site/rent_policy_test.cpp
+++ b/tests/site/rent_policy_test.cpp
@@ -437,6 +437,43 @@
     }
 }
 
+TEST_CASE("upstreams that warm up do not replace others yet")
+{
+    upstream_directory directory;
+    rent_state state;
+    service bounded = llm_service();
+    const time_point start{1000s};
+    const auto announce = [&](int number, bool reclaimable, duration warm_up)
+    {
+        site::upstream value;
+        value.id = {"u" + std::to_string(number)};
+        value.service = bounded.name;
+        value.domain = {domains[number % domains.size()]};
+        value.reclaimable = reclaimable;
+        value.sequence = 1;
+        value.warm_up = warm_up;
+        merge(directory, value, start);
+    };
+    for (int i = 0; i < 6; ++i)
+        announce(i, true, 3s);
+    const auto trusted_at = [&](duration age)
+    {
+        due_orders({}, state, bounded, {}, directory, start + age);
+        return state.last_basis[bounded.name].trusted_reclaimable;
+    };
+
+    SECTION("where their service bounds what they take")
+    {
+        bounded.warm_up = warm_up_terms{3s, 7};
+        CHECK(trusted_at(2s) == 0);
+        CHECK(trusted_at(4s) == 6);
+    }
+    SECTION("but do elsewhere")
+    {
+        CHECK(trusted_at(2s) == 6);
+    }
+}
+
 TEST_CASE("the other failure domains carry the load of an evacuated one")
 {
     simulated_platform platform;
