Upstream pace: a load report counts for as long as its queue takes to drain

Now: the reported load decays to its mean with the time that the queue takes to drain; an upstream of a service without engines is full when the predicted answer takes more than 0.6 of the target; told failures count beyond what the other upstreams lead to expect; two losses in a row make an upstream avoided; ties differ by entry.

Ruled out: the retry budget (no refusal by it), refusals of full upstreams (155; another upstream is forbidden by a route that may be sent to one only).

--- a/src/gateway/dialect.hpp
+++ b/src/gateway/dialect.hpp
@@ -72,12 +72,14 @@
     /// The body has a content coding, so it is not the bytes that the upstream
     /// produced.
     bool is_encoded = false;
-    /// Running and waiting requests and slots at the upstream.
+    /// Running and waiting requests and slots at the upstream, and how long
+    /// work takes there now, in percent of the usual time; 0 if not stated.
     struct load
     {
         std::uint32_t running = 0;
         std::uint32_t waiting = 0;
         std::uint32_t slots = 0;
+        std::uint32_t pace_percent = 0;
     };
     std::optional<load> upstream_load;
     /// Requests a second that the upstream takes from all entries together, if
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -39,6 +39,111 @@
         now);
 }
 
+bool is_plain(const upstream_view& view)
+{
+    return view.pace.work_ms > 0;
+}
+
+double answers_left(
+    const placement_options& options, const upstream_view& view, time_point now)
+{
+    return decayed(1, view.answers_updated_at, options.failure_decay_time, now);
+}
+
+/// Failures that an upstream told of beyond those that the other upstreams
+/// lead to expect: some requests fail wherever they run, and to avoid the last
+/// upstream where one did would send all others to the rest.
+class told_failures
+{
+public:
+    told_failures(
+        const placement_options& options,
+        const std::vector<upstream_view*>& upstreams,
+        time_point now)
+        : options_(options), now_(now)
+    {
+        for (const upstream_view* each : upstreams)
+        {
+            if (each->answers <= 0)
+                continue;
+            const double left = answers_left(options, *each, now);
+            failures_ += left * each->told_failures;
+            answers_ += left * each->answers;
+        }
+    }
+
+    double unexpected_at(const upstream_view& view) const
+    {
+        if (view.told_failures <= 0)
+            return 0;
+        const double left = answers_left(options_, view, now_);
+        const double failures = left * view.told_failures;
+        const double answers = left * view.answers;
+        const double others = std::max(answers_ - answers, 1.0);
+        const double expected =
+            answers * std::max(failures_ - failures, 0.0) / others;
+        constexpr double deviations = 2;
+        return std::max(
+            failures - expected - deviations * std::sqrt(expected), 0.0);
+    }
+
+private:
+    const placement_options& options_;
+    time_point now_;
+    double failures_ = 0;
+    double answers_ = 0;
+};
+
+/// Whether the upstream takes no more requests by the entry's estimate. Where
+/// answers are short and entries many, a free slot is seen too late to wait for
+/// it here: then the queue of the upstream counts, up to a part of the target.
+bool is_full(
+    const placement_options& options,
+    const upstream_view& view,
+    const placement_request& request,
+    std::uint32_t running,
+    time_point now)
+{
+    const double slots = view.value.slots;
+    if (slots <= 0 || running < options.slot_utilization_max * slots)
+        return false;
+    if (!is_plain(view) || request.target_latency <= duration::zero())
+        return true;
+    constexpr double ms_per_s = 1'000;
+    return routing::answer_ms(options.pace, view.pace, running, slots, now) >
+           options.target_part_at_upstream *
+               to_seconds(request.target_latency) * ms_per_s;
+}
+
+/// Less than the time that one request more costs, and different for each
+/// entry: entries that know of no difference do not all take the first.
+double tie_break_ms(
+    const placement_options& options,
+    const upstream_view& view,
+    const placement_request& request)
+{
+    const admission::entry_seat& seat = request.limits.seat;
+    if (request.prompt_tokens > 0 || seat.count == 0)
+        return 0;
+    constexpr std::uint64_t multiplier = 0x9e37'79b9'7f4a'7c15;
+    constexpr int shift = 48;
+    constexpr double range = 1 << 16;
+    const std::uint64_t mixed =
+        (view.id_hash + seat.rank * multiplier) * multiplier;
+    return options.running_cost_ms * static_cast<double>(mixed >> shift) /
+           range;
+}
+
+/// Lateness that is no mere spread of the answer times.
+double lateness_cost(
+    const placement_options& options, const upstream_view& view, time_point now)
+{
+    constexpr double usual_spread = 3;
+    return std::max(
+        current_lateness(options, view, now) - usual_spread * view.pace.work_ms,
+        0.0);
+}
+
 } // namespace
 
 std::optional<bounded_rate>
@@ -113,6 +218,10 @@
 std::uint32_t estimate_running(
     const placement_options& options, const upstream_view& view, time_point now)
 {
+    if (is_plain(view))
+        return view.own_running +
+               static_cast<std::uint32_t>(std::lround(routing::others_at(
+                   options.pace, view.pace, view.value.slots, now)));
     if (!view.reported_load ||
         now - view.load_reported_at > options.load_report_max_age)
         return view.own_running;
@@ -143,6 +252,7 @@
             request.entries,
             now);
     const auto prompt = static_cast<double>(request.prompt_tokens);
+    const told_failures failures(options, upstreams, now);
     // If no other upstream can be used, those that seem unreachable are tried.
     for (const bool last_resort : {false, true})
     {
@@ -160,8 +270,7 @@
                 continue;
             }
             const std::uint32_t running = estimate_running(options, *each, now);
-            if (each->value.slots > 0 &&
-                running >= options.slot_utilization_max * each->value.slots)
+            if (is_full(options, *each, request, running, now))
             {
                 best.all_full = true;
                 continue;
@@ -177,13 +286,17 @@
                     options.prefill_speed,
                     request.speed,
                     static_cast<double>(each->own_uncached_tokens) + uncached) +
-                running_ms + current_lateness(options, *each, now);
-            const double cost =
-                predicted +
-                (each->value.domain == own_domain
-                     ? 0
-                     : options.cross_domain_cost_ms) +
-                options.failure_cost_ms * current_failures(options, *each, now);
+                routing::answer_ms(
+                    options.pace, each->pace, running, each->value.slots, now) +
+                running_ms + lateness_cost(options, *each, now) +
+                tie_break_ms(options, *each, request);
+            const double cost = predicted +
+                                (each->value.domain == own_domain
+                                     ? 0
+                                     : options.cross_domain_cost_ms) +
+                                options.failure_cost_ms *
+                                    (current_failures(options, *each, now) +
+                                     failures.unexpected_at(*each));
             if (cost < best_cost)
             {
                 best_cost = cost;
@@ -192,6 +305,7 @@
                     static_cast<std::uint64_t>(std::llround(uncached));
                 best.predicted_ms = predicted;
                 best.running_ms = running_ms;
+                best.running = running;
             }
         }
         if (best.upstream != nullptr || best.all_full)
@@ -201,6 +315,53 @@
     return best;
 }
 
+void record_plain_answer(
+    const placement_options& options,
+    upstream_view& view,
+    double latency_ms,
+    std::uint32_t ahead,
+    bool is_failure,
+    time_point now)
+{
+    const double left = view.answers > 0 ? answers_left(options, view, now) : 0;
+    view.told_failures = left * view.told_failures + (is_failure ? 1 : 0);
+    view.answers = left * view.answers + 1;
+    view.answers_updated_at = now;
+    if (!is_failure)
+        routing::record_work(
+            options.pace, view.pace, latency_ms, ahead, view.value.slots);
+}
+
+void record_refusal(
+    const placement_options& options, upstream_view& view, time_point now)
+{
+    const std::uint32_t slots = view.value.slots;
+    view.reported_load = answer_metadata::load{slots, 0, slots};
+    view.own_running_at_report = view.own_running;
+    view.load_reported_at = now;
+    if (!is_plain(view))
+        return;
+    // It refuses once its queue is full, of which the length is not known.
+    constexpr std::uint32_t queue_of_slots = 4;
+    routing::record_load(
+        options.pace, view.pace, slots * (1 + queue_of_slots), now);
+}
+
+void record_loss(
+    const placement_options& options,
+    upstream_view& view,
+    time_point sent_at,
+    time_point now)
+{
+    // One event takes all requests that are there.
+    if (sent_at < view.lost_at)
+        return;
+    view.lost_at = now;
+    ++view.losses_in_row;
+    if (view.losses_in_row >= options.losses_in_row_max)
+        record_unreachable(options, view, now);
+}
+
 void record_failure(
     const placement_options& options, upstream_view& view, time_point now)
 {
@@ -246,6 +407,7 @@
 }
 
 void record_answer(
+    const placement_options& options,
     upstream_view& view,
     const std::optional<answer_metadata::load>& load,
     time_point now)
@@ -253,11 +415,17 @@
     view.consecutive_connect_failures = 0;
     view.avoid_until = {};
     view.answered_at = now;
+    view.losses_in_row = 0;
     if (!load)
         return;
     view.reported_load = load;
     view.own_running_at_report = view.own_running;
     view.load_reported_at = now;
+    const double all = double(load->running) + load->waiting;
+    routing::record_load(
+        options.pace, view.pace, std::max(all - view.own_running, 0.0), now);
+    routing::record_stated_pace(
+        options.pace, view.pace, load->pace_percent, now);
 }
 
 } // namespace bergamotusher::gateway
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -6,6 +6,7 @@
 #include "gateway/cache_prediction.hpp"
 #include "gateway/dialect.hpp"
 #include "routing/prefill_speed.hpp"
+#include "routing/upstream_pace.hpp"
 #include "site/upstream_directory.hpp"
 
 #include <bergamotusher/time.hpp>
@@ -49,6 +50,13 @@
     duration avoid_time_max = 4s;
     /// Fraction of its slots at which an upstream counts as full.
     double slot_utilization_max = 0.95;
+    /// Part of a route's target that may pass at an upstream before the answer,
+    /// as predicted; with more the upstream counts as full.
+    double target_part_at_upstream = 0.6;
+    /// After this many losses in a row an upstream is avoided as one that could
+    /// not be reached.
+    std::uint32_t losses_in_row_max = 2;
+    routing::upstream_pace_options pace;
     cache_prediction_options cache_prediction;
 };
 
@@ -79,6 +87,16 @@
     /// Decays with `failure_decay_time`.
     double failures = 0;
     time_point failures_updated_at;
+    /// Answers that told of a failure, and all answers; both decay with
+    /// `failure_decay_time`.
+    double told_failures = 0;
+    double answers = 0;
+    time_point answers_updated_at;
+    routing::upstream_pace pace;
+    /// Requests in a row whose connection was lost before an answer, each sent
+    /// after the loss of the one before.
+    std::uint32_t losses_in_row = 0;
+    time_point lost_at;
     std::uint32_t consecutive_connect_failures = 0;
     time_point avoid_until;
     /// The leader reports that no control node has heard from it lately.
@@ -147,6 +165,8 @@
 {
     const std::vector<prompt_part>* parts = nullptr;
     std::uint64_t prompt_tokens = 0;
+    /// Time within which callers want the answer; 0 if unknown.
+    duration target_latency{};
     /// Upstreams to which this request was already sent.
     const std::set<upstream_id>* tried = nullptr;
     /// Request rates of prompt parts; null if unknown.
@@ -168,6 +188,8 @@
     /// requests running at the upstream cause.
     double predicted_ms = 0;
     double running_ms = 0;
+    /// Estimated number of requests at the upstream.
+    std::uint32_t running = 0;
     /// Some upstreams are ready, but all of them are full.
     bool all_full = false;
     /// None was chosen, and some would have been but for the limits that they
@@ -191,6 +213,28 @@
     const upstream_view& view,
     time_point now);
 
+/// Records an answer that is not a stream: `is_failure` if the upstream tells
+/// of a failure, `ahead` as estimated when the request was sent.
+void record_plain_answer(
+    const placement_options& options,
+    upstream_view& view,
+    double latency_ms,
+    std::uint32_t ahead,
+    bool is_failure,
+    time_point now);
+
+/// Records that the upstream refused a request because it is full.
+void record_refusal(
+    const placement_options& options, upstream_view& view, time_point now);
+
+/// Records that the connection was lost before an answer to a request that was
+/// sent at `sent_at`.
+void record_loss(
+    const placement_options& options,
+    upstream_view& view,
+    time_point sent_at,
+    time_point now);
+
 /// Records a failure that counts against the upstream.
 void record_failure(
     const placement_options& options, upstream_view& view, time_point now);
@@ -214,6 +258,7 @@
 
 /// Records an answer and the load that it reports.
 void record_answer(
+    const placement_options& options,
     upstream_view& view,
     const std::optional<answer_metadata::load>& load,
     time_point now);
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -190,6 +190,7 @@
     placement_request placement;
     placement.parts = &req->facts.parts;
     placement.prompt_tokens = req->facts.prompt_tokens.value_or(0);
+    placement.target_latency = req->route->target_latency;
     placement.tried = &req->tried;
     placement.rates = &view_.rates;
     placement.entries = view_.entries;
@@ -365,6 +366,7 @@
     req->uncached_tokens = choice.uncached_tokens;
     req->predicted_ms = choice.predicted_ms;
     req->running_ms = choice.running_ms;
+    req->running_at_upstream = choice.running;
     req->first_byte_received = false;
     req->sent_at = now;
     req->tried.insert(upstream.value.id);
@@ -401,6 +403,8 @@
                 .with("unread_tokens", choice.uncached_tokens)
                 .with("predicted_ms", choice.predicted_ms)
                 .with("upstream_running", upstream.own_running)
+                .with("upstream_load", choice.running)
+                .with("work_ms", upstream.pace.work_ms)
                 .with(
                     "load_age_ms",
                     upstream.reported_load ? now - upstream.load_reported_at
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -251,6 +251,9 @@
     void record_first_byte(const request_ptr& req);
     void record_attempt_success(const request_ptr& req);
     void record_attempt_failure(const request_ptr& req);
+    /// Records a whole signed answer of a service without engines, of which the
+    /// time tells how long work takes; does nothing for other services.
+    bool record_plain_end(const request_ptr& req, bool is_failure);
     /// The request ends before its answer began: its latency is at least the
     /// time since it was sent.
     void record_unanswered(const request_ptr& req);
--- a/src/gateway/relay_answers.cpp
+++ b/src/gateway/relay_answers.cpp
@@ -101,7 +101,8 @@
         upstream_view& upstream = *found->second;
         upstream.own_uncached_tokens -=
             std::min(upstream.own_uncached_tokens, req->uncached_tokens);
-        record_answer(upstream, req->answer.upstream_load, now);
+        record_answer(
+            options_.placement, upstream, req->answer.upstream_load, now);
         const double latency_ms = to_seconds(now - req->sent_at) * per_mille;
         record_lateness(
             options_.placement,
@@ -150,6 +151,24 @@
         note_answered(view_.crashes, crash_subjects_of(*req), uptime());
 }
 
+bool relay::record_plain_end(const request_ptr& req, bool is_failure)
+{
+    const site::service* service = find_service(*req->site, req->service);
+    const auto found = view_.upstreams.find(req->upstream);
+    if (service == nullptr || service->engine || !req->answer.is_signed ||
+        found == view_.upstreams.end())
+        return false;
+    const time_point now = uptime();
+    record_plain_answer(
+        options_.placement,
+        *found->second,
+        to_seconds(now - req->sent_at) * per_mille,
+        req->running_at_upstream,
+        is_failure,
+        now);
+    return true;
+}
+
 void relay::record_attempt_failure(const request_ptr& req)
 {
     ++tally(*req).failures;
@@ -295,14 +314,7 @@
             if (req->status == status_misdirected)
                 record_replaced(options_.placement, upstream, now);
             else
-            {
-                // The upstream rejected the request: record it as full, with
-                // all slots in use.
-                upstream.reported_load = answer_metadata::load{
-                    upstream.value.slots, 0, upstream.value.slots};
-                upstream.own_running_at_report = upstream.own_running;
-                upstream.load_reported_at = now;
-            }
+                record_refusal(options_.placement, upstream, now);
         }
         return handle_failed_attempt(
             req, attempt_outcome::refused, "refused by upstream");
@@ -317,7 +329,10 @@
     record_first_byte(req);
     if (req->status >= status_server_error)
     {
-        record_attempt_failure(req);
+        if (record_plain_end(req, true))
+            ++tally(*req).failures;
+        else
+            record_attempt_failure(req);
         const retry_decision step = decide_retry(
             req->as_failed_attempt(attempt_outcome::may_have_run, now));
         if (req->head_forwarded || step == retry_decision::retry)
@@ -328,7 +343,10 @@
                 req, attempt_outcome::may_have_run, "unsigned failure");
     }
     else
+    {
+        record_plain_end(req, false);
         record_attempt_success(req);
+    }
     if (req->head_forwarded)
         return handle_failed_attempt(
             req, attempt_outcome::may_have_run, "not a stream any more");
@@ -368,7 +386,13 @@
     }
     record_attempt_failure(req);
     if (kind == failure_kind::connection_lost)
+    {
         suspect_crash(req);
+        const site::service* service = find_service(*req->site, req->service);
+        if (!req->first_byte_received && found != view_.upstreams.end() &&
+            service != nullptr && !service->engine)
+            record_loss(options_.placement, *found->second, req->sent_at, now);
+    }
     handle_failed_attempt(
         req,
         attempt_outcome::may_have_run,
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -58,6 +58,8 @@
     std::uint64_t queued_tokens = 0;
     double predicted_ms = 0;
     double running_ms = 0;
+    /// Requests estimated at the upstream when this one was sent.
+    std::uint32_t running_at_upstream = 0;
     bool first_byte_received = false;
     time_point sent_at;
     /// Events received by earlier attempts.
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -195,7 +195,7 @@
 {
     upstream_view view;
     view.own_running = 5;
-    record_answer(view, answer_metadata::load{12, 2, 64}, now);
+    record_answer({}, view, answer_metadata::load{12, 2, 64}, now);
     view.own_running = 6;
     CHECK(estimate_running({}, view, now) == 15);
     CHECK(estimate_running({}, view, now + 1min) == 6);
--- a/tests/platform/header_dialect_test.cpp
+++ b/tests/platform/header_dialect_test.cpp
@@ -89,6 +89,27 @@
     CHECK(facts.idle_time == duration(5s));
     CHECK(facts.closes);
 
+    SECTION("takes the fourth figure of a load, if it can be read")
+    {
+        const auto load = [](const char* text)
+        {
+            return platform_dialect
+                .read_answer(200, {{"Bergamotusher-Server-Load", text}})
+                .upstream_load;
+        };
+        CHECK(facts.upstream_load->pace_percent == 0);
+        REQUIRE(load("3,1,8,140"));
+        CHECK(load("3,1,8,140")->waiting == 1);
+        CHECK(load("3,1,8,140")->pace_percent == 140);
+        for (const char* text : {"3,1,8,x", "3,1,8,-1", "3,1,8,99999999999"})
+        {
+            REQUIRE(load(text));
+            CHECK(load(text)->pace_percent == 0);
+        }
+        CHECK_FALSE(load("3,1,x,8"));
+        CHECK_FALSE(load("3,1"));
+        CHECK_FALSE(load("3,1,8,100,7"));
+    }
     SECTION("reads the limit that an upstream names")
     {
         const auto read = [](const header_fields& fields)
