Limits: lost counts end a window after the last start, ceilings in sixteenths

Cause: after a loss of all processes a new leader counted what the ceilings had allowed as used for 8.5 s after its own lease began. Entries that lost their counts had ended before they started again, so all of it has left the window earlier, where none ran on. Ceilings in eighths count more as lost than was used.

--- a/src/admission/shared_limit.cpp
+++ b/src/admission/shared_limit.cpp
@@ -79,6 +79,29 @@
     return started > ledger.created_at - options.bound.window;
 }
 
+/// Whether entries that have reported may have used, within the window, amounts
+/// that no report tells. Where none ran on through a loss, nothing that was
+/// lost is younger than the latest start; where some did, others like them may
+/// not have been heard.
+bool may_hold_lost_counts(
+    const use_ledger& ledger, const sharing_options& options, time_point now)
+{
+    bool has_lost_one = false;
+    bool has_survivor = false;
+    time_point latest_start = time_point::min();
+    for (const auto& [entry, starts] : ledger.entries)
+    {
+        const time_point started = starts.begin()->second.started_at;
+        if (may_follow_a_lost_count(ledger, options, started))
+            has_lost_one = true;
+        else
+            has_survivor = true;
+        latest_start = std::max(latest_start, started);
+    }
+    return has_lost_one &&
+           (has_survivor || now < latest_start + options.bound.window);
+}
+
 /// What a ledger says at one moment of all accounts.
 struct ledger_reading
 {
@@ -116,12 +139,11 @@
         ledger, options, std::max({entries, known, std::uint32_t{1}}), now};
     const bool is_young =
         now - ledger.created_at < options.bound.window + options.ledger_warm_up;
-    reading.has_lost_counts = is_young && entries > known;
+    reading.has_lost_counts =
+        is_young &&
+        (entries > known || may_hold_lost_counts(ledger, options, now));
     for (const auto& [entry, starts] : ledger.entries)
     {
-        if (is_young && may_follow_a_lost_count(
-                            ledger, options, starts.begin()->second.started_at))
-            reading.has_lost_counts = true;
         for (const auto& [incarnation, use] : starts)
             reading.ungranted_fraction += ungranted_fraction(reading, use);
     }
--- a/src/admission/shared_limit.hpp
+++ b/src/admission/shared_limit.hpp
@@ -34,8 +34,9 @@
     /// reported the grant that it holds.
     duration ledger_warm_up = 500ms;
     /// Ceilings are multiples of this fraction of the total, so that they
-    /// change seldom.
-    double ceiling_step = 0.125;
+    /// change seldom. What is recorded above the use is missing for a window
+    /// after a loss of all counts.
+    double ceiling_step = 0.0625;
     /// The ceiling of an account without a recorded one, as a fraction of the
     /// total.
     double unrecorded_ceiling = 0.5;
--- a/tests/admission/shared_limit_test.cpp
+++ b/tests/admission/shared_limit_test.cpp
@@ -166,3 +166,45 @@
     CHECK(used > 0.9 * ceiling);
     CHECK(used <= ceiling);
 }
+
+TEST_CASE("lost counts end a window after the last entry's start, however late "
+          "a leader comes")
+{
+    const std::size_t entries = GENERATE(4, 23);
+    entries_simulation simulation(entries);
+    simulation.rate = 220'000;
+    simulation.run(10s, 0.5 * simulation.rate);
+    simulation.run(4s, 5 * simulation.rate);
+    const auto admitted_after = [&](duration span)
+    {
+        simulation.run(span, 5 * simulation.rate);
+        double sum = 0;
+        for (const auto& [at, amount] : simulation.admitted)
+            if (at >= simulation.now - 700ms)
+                sum += amount;
+        return sum;
+    };
+    CAPTURE(entries);
+
+    SECTION("a limit that was used up is granted again then")
+    {
+        for (std::size_t i = 0; i < entries; ++i)
+            simulation.restart(i);
+        simulation.now += 3s;
+        simulation.replace_leader();
+        CHECK(admitted_after(5s) < simulation.total() / 20);
+        // Nearly all that is asked for in this time.
+        CHECK(admitted_after(700ms) > simulation.total() / 3);
+    }
+    SECTION("but not while an entry ran on, since another may be cut off")
+    {
+        for (std::size_t i = 1; i < entries; ++i)
+            simulation.restart(i);
+        simulation.now += 3s;
+        simulation.replace_leader();
+        simulation.run(5s, 5 * simulation.rate);
+        CHECK(admitted_after(700ms) < simulation.total() / 4);
+    }
+    simulation.run(10s, 5 * simulation.rate);
+    CHECK(simulation.max_window_use() <= simulation.operators_bound());
+}
