Waiting requests go by their account's rank; streams log their longest pause

Cause: the entry's queue ordered by the route's priority, though an account's takes precedence (PROTOCOL.md, Requests). See docs/design/service-queue.md.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -259,12 +259,11 @@
         return reject(req, error_kind::overloaded, "too many requests wait");
     req->is_waiting = true;
     req->waiting_since = uptime();
-    // Ordered by priority, and by arrival among equal priorities.
+    // Ordered by rank, and by arrival among equal ranks.
     const auto position = std::find_if(
         waiting.begin(),
         waiting.end(),
-        [&](const request_ptr& other)
-        { return other->route->priority > req->route->priority; });
+        [&](const request_ptr& other) { return other->rank() > req->rank(); });
     waiting.insert(position, req);
     ++view_.services[req->service].waiting;
 }
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -224,6 +224,7 @@
     /// Updates the count of buffered bytes. Ends the attempt of this request if
     /// it has more than allowed, and those of the requests with most bytes
     /// while all together have.
+    static void record_event_gap(request& req, time_point now);
     void check_buffer(const request_ptr& req);
     void give_up_answer(const request_ptr& req, const char* reason);
     /// Drops what is buffered of the request's answer.
--- a/src/gateway/relay_answers.cpp
+++ b/src/gateway/relay_answers.cpp
@@ -177,6 +177,13 @@
         req->is_streaming = false;
 }
 
+void relay::record_event_gap(request& req, time_point now)
+{
+    if (req.last_event_at != time_point{})
+        req.longest_gap = std::max(req.longest_gap, now - req.last_event_at);
+    req.last_event_at = now;
+}
+
 void relay::on_body(const request_ptr& req, const std::string& piece)
 {
     if (!req->is_streaming)
@@ -188,6 +195,8 @@
     const std::uint64_t before = req->events.events;
     const std::string events = split_events(req->events, piece);
     counters_.events += req->events.events - before;
+    if (req->events.events > before)
+        record_event_gap(*req, uptime());
     if (req->head_forwarded && req->events.went_back)
         return give_up_answer(req, "the stream does not continue");
     if (!events.empty())
@@ -529,6 +538,7 @@
                 .with("attempts", req->attempts)
                 .with("upstream", req->last_upstream.value)
                 .with("first_ms", first - req->began)
+                .with("longest_gap_ms", req->longest_gap)
                 .with("events", req->events.events),
             now);
 }
--- a/src/gateway/relay_limits.cpp
+++ b/src/gateway/relay_limits.cpp
@@ -86,8 +86,7 @@
     const auto ahead = std::count_if(
         waiting.begin(),
         waiting.end(),
-        [&](const request_ptr& other)
-        { return other->route->priority <= req->route->priority; });
+        [&](const request_ptr& other) { return other->rank() <= req->rank(); });
     const auto free_in = time_to_limited_request(
         eligible_upstreams(view_, req->service, req->version_draw),
         req->tried,
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -1,6 +1,7 @@
 // The relay's state of one request; private to the relay's source files.
 #pragma once
 
+#include "admission/service_queue.hpp"
 #include "gateway/relay.hpp"
 
 namespace bergamotusher::gateway
@@ -77,6 +78,9 @@
     /// Of the head that was forwarded.
     std::string content_type;
     time_point first_forwarded_at;
+    time_point last_event_at;
+    /// Longest pause between two events of a stream.
+    duration longest_gap{};
 
     duration time_left(time_point now) const
     {
@@ -97,6 +101,12 @@
             failed_connects,
             time_left(now)};
     }
+    std::uint32_t rank() const
+    {
+        return admission::rank_of(
+            account == nullptr ? std::nullopt : account->priority,
+            route->priority);
+    }
     bool is_stream() const
     {
         return route->kind == site::route_kind::stream;
