--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -191,6 +191,7 @@
     placement_request placement;
     placement.parts = &req->facts.parts;
     placement.prompt_tokens = req->facts.prompt_tokens.value_or(0);
+    placement.target_latency = req->route->target_latency;
     placement.tried = &req->tried;
     placement.rates = &view_.rates;
     placement.entries = view_.entries;
@@ -263,12 +264,11 @@
         return reject(req, error_kind::overloaded, "too many requests wait");
     req->is_waiting = true;
     req->waiting_since = uptime();
-    // Ordered by priority, and by arrival among equal priorities.
+    // Ordered by rank, and by arrival among equal ranks.
     const auto position = std::find_if(
         waiting.begin(),
         waiting.end(),
-        [&](const request_ptr& other)
-        { return other->route->priority > req->route->priority; });
+        [&](const request_ptr& other) { return other->rank() > req->rank(); });
     waiting.insert(position, req);
     ++view_.services[req->service].waiting;
 }
@@ -369,6 +369,7 @@
     req->uncached_tokens = choice.uncached_tokens;
     req->predicted_ms = choice.predicted_ms;
     req->running_ms = choice.running_ms;
+    req->running_at_upstream = choice.running;
     req->first_byte_received = false;
     req->sent_at = now;
     req->tried.insert(upstream.value.id);
@@ -405,6 +406,8 @@
                 .with("unread_tokens", choice.uncached_tokens)
                 .with("predicted_ms", choice.predicted_ms)
                 .with("upstream_running", upstream.own_running)
+                .with("upstream_load", choice.running)
+                .with("work_ms", upstream.pace.work_ms)
                 .with(
                     "load_age_ms",
                     upstream.reported_load ? now - upstream.load_reported_at
--- a/src/gateway/relay.hpp
+++ b/src/gateway/relay.hpp
@@ -230,6 +230,7 @@
     /// Updates the count of buffered bytes. Ends the attempt of this request if
     /// it has more than allowed, and those of the requests with most bytes
     /// while all together have.
+    static void record_event_gap(request& req, time_point now);
     void check_buffer(const request_ptr& req);
     void give_up_answer(const request_ptr& req, const char* reason);
     /// Drops what is buffered of the request's answer.
@@ -257,6 +258,9 @@
     void record_first_byte(const request_ptr& req);
     void record_attempt_success(const request_ptr& req);
     void record_attempt_failure(const request_ptr& req);
+    /// Records a whole signed answer of a service without engines, of which the
+    /// time tells how long work takes; does nothing for other services.
+    bool record_plain_end(const request_ptr& req, bool is_failure);
     /// The request ends before its answer began: its latency is at least the
     /// time since it was sent.
     void record_unanswered(const request_ptr& req);
