Leaving the domain by shares: off unless the settings ask for it

Conclusion: a setting of the control nodes switches it on; without it entries hear of no rooms and charge the fixed distance as before.

--- a/src/site/control_duties.cpp
+++ b/src/site/control_duties.cpp
@@ -162,7 +162,7 @@
 
 void control_service::update_rooms(time_point now)
 {
-    if (now < next_rooms_at_ || !site_->current)
+    if (!options_.shares_domains || now < next_rooms_at_ || !site_->current)
         return;
     next_rooms_at_ = now + rooms_interval;
     rooms_.clear();
--- a/src/site/control_process.cpp
+++ b/src/site/control_process.cpp
@@ -93,6 +93,7 @@
     options.self.value = to_string(settings.peer_address);
     options.seeds = settings.seeds;
     options.domains = settings.domains;
+    options.shares_domains = settings.shares_domains;
     options.announcement_interval = settings.announcement_interval;
     options.duty_handover_delay = settings.duty_handover_delay;
     options.usage = settings.usage;
--- a/src/site/control_process.hpp
+++ b/src/site/control_process.hpp
@@ -25,6 +25,8 @@
     failure_domain domain;
     /// All failure domains of the deployment, as far as the settings name them.
     std::set<failure_domain> domains;
+    /// See `control_service_options::shares_domains`.
+    bool shares_domains = false;
     /// Addresses of the HTTP interface for operators, upstreams and callers.
     std::vector<endpoint> api_addresses;
     /// IP:PORT for messages between nodes; also the node's id.
--- a/src/site/control_service.hpp
+++ b/src/site/control_service.hpp
@@ -103,6 +103,9 @@
     /// Failure domains that exist, beside those that upstreams and entries
     /// name.
     std::set<failure_domain> domains;
+    /// Whether entries are told what each failure domain has left, by which
+    /// they bound what leaves theirs.
+    bool shares_domains = false;
     /// Entries without a report for this long are not returned to callers.
     duration entry_timeout = 1500ms;
     /// Interval at which upstreams announce themselves.
