--- a/tests/routing/domain_exchange_test.cpp
+++ b/tests/routing/domain_exchange_test.cpp
@@ -24,6 +24,7 @@
 domains(const std::vector<std::pair<double, double>>& arrivals_and_capacities)
 {
     std::vector<domain_state> all;
+    all.reserve(arrivals_and_capacities.size());
     for (const auto& [arrivals, capacity] : arrivals_and_capacities)
         all.push_back(
             {domain(static_cast<int>(all.size())), arrivals, capacity});
@@ -101,6 +102,7 @@
     for (int count = 2; count <= 15; ++count)
     {
         std::vector<std::pair<double, double>> values;
+        values.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
             values.emplace_back(20 + 37 * i % 150, 100);
         const auto all = domains(values);
