review: a second loss of all processes within a quota's window

A tenant sends 7.5 times its usual; all processes are killed twice, 2.8 s apart, and entries admit the first part of their share again after each start.

--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -691,6 +691,25 @@
         std::to_string(edges_) + " edge processes");
 }
 
+void deployment::restart_all(double down_s)
+{
+    for (const process& each : processes_)
+        ::kill(each.id, SIGKILL);
+    for (process& each : processes_)
+    {
+        ::waitpid(each.id, nullptr, 0);
+        const std::string first = "\"bootstrap\":true";
+        const std::size_t at = each.settings.find(first);
+        if (at != std::string::npos)
+            each.settings.replace(at, first.size(), "\"bootstrap\":false");
+    }
+    record("all processes are killed");
+    sleep_s(down_s);
+    for (process& each : processes_)
+        start(each);
+    record("all processes are started again");
+}
+
 bool deployment::wait_until_listed(int entries, double timeout_s)
 {
     const double end = now_s() + timeout_s;
--- a/review/rig/rig.hpp
+++ b/review/rig/rig.hpp
@@ -138,6 +138,9 @@
     deployment& operator=(const deployment&) = delete;
 
     void start_all();
+    /// Kills all processes and starts them again after `down_s`. Call it from
+    /// the thread that called `start_all`.
+    void restart_all(double down_s);
     /// Waits until an entry is listed for clients at a registry.
     bool wait_until_listed(int entries, double timeout_s);
 
