--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,6 +1,6 @@
 // A request that crashes each worker that begins to run it is suspended; then
 // all processes are killed, and it comes again at both entries.
-#include "rig.hpp"
+#include "../rig/rig.hpp"
 
 #include <algorithm>
 #include <iostream>
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,6 +1,6 @@
 // One tenant sends many times its usual while all processes are killed twice
 // within the window of the quota.
-#include "rig.hpp"
+#include "../rig/rig.hpp"
 
 #include <algorithm>
 #include <iostream>
